--- /dev/null
+++ b/src/main/java/hazelspoke/gateway/Dispatcher.java
@@ -0,0 +1,419 @@
+package hazelspoke.gateway;
+
+import io.netty.channel.EventLoop;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.util.concurrent.ScheduledFuture;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import ternscale.api.Actions;
+import ternscale.api.Balancer;
+import ternscale.api.HostEntry;
+import ternscale.api.MembersUpdate;
+import ternscale.api.Outcome;
+import ternscale.api.Outcome.Result;
+import ternscale.api.ProbeResult;
+import ternscale.api.RequestInfo;
+import ternscale.api.Settings;
+
+/**
+ * Every request in hand: tells the module what happens to it and does what the module says, and
+ * sees to it that each gets exactly one final answer, whatever goes wrong.
+ */
+final class Dispatcher implements Actions {
+  /** A request still unanswered this long after its deadline is failed here: a bug, not a rule. */
+  private static final double OVERDUE_MS = 15;
+
+  private static final double MS_PER_SECOND = 1_000;
+  private static final double NANOS_PER_MS = 1e6;
+
+  private final EventLoop loop;
+  private final Clock clock;
+  private final Log log;
+  private final Settings settings;
+  private final Names names;
+  private final int openCap;
+  private final HostClient hosts;
+  private final Map<String, Exchange> exchanges = new HashMap<>();
+  private DiscoveryClient discovery;
+  private Balancer balancer;
+  private boolean deciding;
+  private long taken;
+  private int owed;
+
+  Dispatcher(EventLoop loop, GatewayConfig config, Clock clock, Log log, HostClient hosts) {
+    this.loop = loop;
+    this.clock = clock;
+    this.log = log;
+    this.settings = config.settings();
+    this.names = config.names();
+    this.openCap = config.openCap();
+    this.hosts = hosts;
+  }
+
+  void start(Balancer module, DiscoveryClient client) {
+    balancer = module;
+    discovery = client;
+  }
+
+  /**
+   * Hands the module one event. It is not made for being called from within its own actions, so
+   * what follows from one at once waits for its turn; and if it fails, nobody waits for ever.
+   */
+  private void decide(Exchange concerned, Runnable event) {
+    if (deciding) {
+      loop.execute(() -> decide(concerned, event));
+      return;
+    }
+    deciding = true;
+    boolean failed = false;
+    try {
+      event.run();
+    } catch (RuntimeException e) {
+      log.failure("the module failed", e);
+      failed = true;
+    } finally {
+      deciding = false;
+    }
+    if (failed && concerned != null) {
+      abandon(concerned);
+    }
+  }
+
+  /** Fails a request that the module has lost track of. */
+  private void abandon(Exchange x) {
+    if (!x.ended) {
+      answer(x, HttpResponseStatus.BAD_GATEWAY, 0);
+      decide(null, () -> balancer.onClientGone(clock.nowMs(), x.id));
+      x.attempts.forEach(Attempt::stop);
+    }
+  }
+
+  void onMembers(MembersUpdate.Kind kind, HostList.Update update) {
+    List<HostEntry> entries = new ArrayList<>();
+    for (HostList.Listed host : update.hosts()) {
+      entries.add(host.entry());
+      if (host.address() != null) {
+        hosts.setAddress(host.entry().host(), host.address());
+      }
+    }
+    MembersUpdate news = new MembersUpdate(kind, update.version(), entries);
+    decide(null, () -> balancer.onMembers(clock.nowMs(), news));
+  }
+
+  void onDiscoveryFailed() {
+    onMembers(MembersUpdate.Kind.FAILED, new HostList.Update(false, 0, List.of()));
+  }
+
+  /** A client's request is whole. */
+  void onRequest(Exchange x) {
+    double now = clock.nowMs();
+    RequestInfo info = x.taken(Long.toString(taken++), now);
+    owed++;
+    if (owed > openCap) {
+      answer(x, HttpResponseStatus.SERVICE_UNAVAILABLE, 0);
+      return;
+    }
+    exchanges.put(x.id, x);
+    schedule(info.deadline() + OVERDUE_MS - now, () -> overdue(x));
+    decide(x, () -> balancer.onRequest(clock.nowMs(), info));
+  }
+
+  private void overdue(Exchange x) {
+    if (!x.ended) {
+      log.line("request " + x.id + " was left without an answer");
+      abandon(x);
+    }
+  }
+
+  /** The client left before it had its whole answer. */
+  void onClientGone(Exchange x) {
+    if (x.ended) {
+      // Its long answer was under way: the host need not go on.
+      for (Attempt attempt : x.attempts) {
+        attempt.stop();
+      }
+      return;
+    }
+    end(x);
+    decide(x, () -> balancer.onClientGone(clock.nowMs(), x.id));
+  }
+
+  private void end(Exchange x) {
+    x.ended = true;
+    owed--;
+    x.share.release();
+    if (x.out == 0) {
+      exchanges.remove(x.id);
+    }
+  }
+
+  private void answer(Exchange x, HttpResponseStatus status, double retryAfterMs) {
+    if (!x.ended) {
+      end(x);
+      x.client.answer(status, retryAfterMs / MS_PER_SECOND);
+    }
+  }
+
+  private ScheduledFuture<?> schedule(double delayMs, Runnable task) {
+    return loop.schedule(task, (long) (Math.max(0, delayMs) * NANOS_PER_MS), TimeUnit.NANOSECONDS);
+  }
+
+  @Override
+  public void send(String requestId, String host, double timeoutMs) {
+    Exchange x = exchanges.get(requestId);
+    double now = clock.nowMs();
+    if (x == null) {
+      log.line("the module sent request " + requestId + " after its end");
+      return;
+    }
+    Attempt attempt = new Attempt(x, host, now);
+    x.attempts.add(attempt);
+    x.out++;
+    double leftMs = x.deadline - now;
+    if (x.ended || leftMs <= 0 || x.attempts.size() > settings.limits().maxAttempts()) {
+      loop.execute(() -> attempt.settle(Result.NOT_SENT, null));
+      return;
+    }
+    attempt.go(timeoutMs > 0 ? Math.min(timeoutMs, leftMs) : leftMs);
+  }
+
+  @Override
+  public void refuse(String requestId, double retryAfterMs) {
+    Exchange x = exchanges.get(requestId);
+    if (x != null) {
+      answer(x, HttpResponseStatus.SERVICE_UNAVAILABLE, retryAfterMs);
+    }
+  }
+
+  @Override
+  public void fail(String requestId) {
+    Exchange x = exchanges.get(requestId);
+    if (x != null) {
+      boolean late = clock.nowMs() >= x.deadline;
+      answer(x, late ? HttpResponseStatus.GATEWAY_TIMEOUT : HttpResponseStatus.BAD_GATEWAY, 0);
+    }
+  }
+
+  @Override
+  public void cancel(String requestId, int attempt) {
+    Exchange x = exchanges.get(requestId);
+    if (x != null && attempt >= 0 && attempt < x.attempts.size()) {
+      Attempt a = x.attempts.get(attempt);
+      loop.execute(a::stop);
+      a.giveUp();
+    }
+  }
+
+  @Override
+  public void probe(String host) {
+    Probe probe = new Probe(host, clock.nowMs());
+    probe.ticket = hosts.start(host, probe);
+    schedule(Probe.TIMEOUT_MS, probe::timeOut);
+  }
+
+  @Override
+  public void closeIdle(String host) {
+    hosts.closeIdle(host);
+  }
+
+  @Override
+  public void setTimer(long timer, double delayMs) {
+    schedule(delayMs, () -> decide(null, () -> balancer.onTimer(clock.nowMs(), timer)));
+  }
+
+  @Override
+  public void lookup() {
+    discovery.lookup();
+  }
+
+  @Override
+  public void watch(boolean on) {
+    discovery.watch(on);
+  }
+
+  /** No site that this gateway is built for lets gateways talk to one another. */
+  @Override
+  public void tellPeer(int peer, String data) {
+    log.line("a message to a peer was dropped: there is no way to one");
+  }
+
+  @Override
+  public void log(String line) {
+    log.line(line);
+  }
+
+  /** One attempt of a request. */
+  final class Attempt implements HostCall {
+    private final Exchange x;
+    private final String host;
+    private final int number;
+    private final double startedAt;
+    private HostClient.Ticket ticket;
+    private ScheduledFuture<?> timeOut;
+    private double firstBytesMs = -1;
+    private boolean over;
+
+    Attempt(Exchange x, String host, double now) {
+      this.x = x;
+      this.host = host;
+      number = x.attempts.size();
+      startedAt = now;
+    }
+
+    private void go(double timeoutMs) {
+      timeOut = schedule(timeoutMs, this::timeOut);
+      ticket = hosts.start(host, this);
+    }
+
+    private void timeOut() {
+      if (!over && firstBytesMs < 0) {
+        // Given up before its last byte was written, it never ran.
+        Result result = ticket.isSent() ? Result.TIMEOUT : Result.CONNECT_FAILED;
+        ticket.giveUp();
+        settle(result, null);
+      }
+    }
+
+    /** Ends the attempt at the gateway's own wish. */
+    private void stop() {
+      if (!over) {
+        giveUp();
+        settle(Result.CANCELLED, null);
+      }
+    }
+
+    private void giveUp() {
+      if (ticket != null && !over) {
+        ticket.giveUp();
+      }
+    }
+
+    @Override
+    public HttpRequest head(String authority) {
+      return x.headFor(authority, clock.nowMs());
+    }
+
+    @Override
+    public Body body() {
+      return x.body;
+    }
+
+    @Override
+    public AnswerSink answerStarted(HttpHeaders headers, long length, HostConnection source) {
+      firstBytesMs = clock.nowMs() - startedAt;
+      AnswerSink sink = AnswerSink.NOWHERE;
+      if (!x.ended) {
+        end(x);
+        sink = x.client.startAnswer(headers, length, source);
+      }
+      decide(x, () -> balancer.onAnswerStarted(clock.nowMs(), x.id, number, host));
+      return sink;
+    }
+
+    @Override
+    public void answered(HttpHeaders headers, Body answer, ByteBudget.Share share) {
+      if (x.ended) {
+        share.release();
+      } else {
+        end(x);
+        x.client.answer(headers, answer, share);
+      }
+      settle(Result.OK, headers);
+    }
+
+    @Override
+    public void ended(Result result, HttpHeaders headers) {
+      settle(result, headers);
+    }
+
+    private void settle(Result result, HttpHeaders headers) {
+      if (over) {
+        return;
+      }
+      over = true;
+      if (timeOut != null) {
+        timeOut.cancel(false);
+      }
+      x.out--;
+      if (x.ended && x.out == 0) {
+        exchanges.remove(x.id);
+      }
+      double now = clock.nowMs();
+      // A long answer's time is that of its first bytes: its size is no slowness of its host.
+      double elapsedMs = firstBytesMs >= 0 ? firstBytesMs : now - startedAt;
+      List<Double> report =
+          headers != null && settings.reportMode() == Settings.ReportMode.WITH_ANSWERS
+              ? names.report(headers.get(Headers.LOAD_REPORT, ""))
+              : List.of();
+      decide(
+          x,
+          () ->
+              balancer.onOutcome(
+                  clock.nowMs(),
+                  new Outcome(x.id, host, number, result, elapsedMs, x.ended, report)));
+    }
+  }
+
+  /** A question for a host's load. */
+  private final class Probe implements HostCall {
+    private static final double TIMEOUT_MS = 300;
+
+    private final String host;
+    private final double startedAt;
+    private HostClient.Ticket ticket;
+    private boolean over;
+
+    Probe(String host, double now) {
+      this.host = host;
+      startedAt = now;
+    }
+
+    private void timeOut() {
+      if (!over) {
+        ticket.giveUp();
+        settle(Result.TIMEOUT, List.of());
+      }
+    }
+
+    @Override
+    public HttpRequest head(String authority) {
+      return Headers.get("/load", authority);
+    }
+
+    @Override
+    public Body body() {
+      return new Body();
+    }
+
+    @Override
+    public AnswerSink answerStarted(HttpHeaders headers, long length, HostConnection source) {
+      return AnswerSink.NOWHERE;
+    }
+
+    @Override
+    public void answered(HttpHeaders headers, Body answer, ByteBudget.Share share) {
+      String text = answer.text();
+      share.release();
+      boolean reports = settings.reportMode() != Settings.ReportMode.NONE;
+      settle(Result.OK, reports ? names.report(text) : List.of());
+    }
+
+    @Override
+    public void ended(Result result, HttpHeaders headers) {
+      settle(result, List.of());
+    }
+
+    private void settle(Result result, List<Double> report) {
+      if (!over) {
+        over = true;
+        ProbeResult news = new ProbeResult(host, result, clock.nowMs() - startedAt, report);
+        decide(null, () -> balancer.onProbeResult(clock.nowMs(), news));
+      }
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/hazelspoke/gateway/Gateway.java
@@ -0,0 +1,150 @@
+package hazelspoke.gateway;
+
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.EventLoop;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import java.io.PrintStream;
+import java.net.InetSocketAddress;
+import java.util.Map;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import ternscale.api.Balancer;
+import ternscale.api.MembersUpdate;
+import ternscale.policy.LcStarBalancer;
+
+/** One gateway: its parts, all on one event loop, from the start to the drain after SIGTERM. */
+public final class Gateway {
+  /** Sockets for hosts, as a part of all; clients get what is left. */
+  private static final int HOST_PART = 4;
+
+  /** Descriptors for what is neither: the JVM's files, discovery, the listener, and some slack. */
+  private static final int OTHER_DESCRIPTORS = 96;
+
+  /** Bodies of requests held at once, besides the one that may always be completed (32 MiB). */
+  private static final long BODY_BYTES = 12L << 20;
+
+  /** Answers held at once until they are whole or written. */
+  private static final long ANSWER_BYTES = 12L << 20;
+
+  /** New connections come for up to 400 ms after SIGTERM. */
+  private static final long ACCEPT_ON_MS = 600;
+
+  /**
+   * SIGKILL may come this long after the longest deadline at the earliest: 700 ms, less a margin.
+   */
+  private static final long DRAIN_MARGIN_MS = 600;
+
+  private static final long DRAIN_CHECK_MS = 20;
+
+  private final GatewayConfig config;
+  private final EventLoopGroup group =
+      new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+  private final EventLoop loop = group.next();
+  private final Clock clock = new Clock();
+  private final Log log;
+  private final CountDownLatch drained = new CountDownLatch(1);
+  private DiscoveryClient discovery;
+  private ClientServer clients;
+
+  Gateway(GatewayConfig config, PrintStream err) {
+    this.config = config;
+    log = new Log(err, clock);
+  }
+
+  /** Runs a gateway until SIGTERM; returns 1 when it cannot start. */
+  public static int serve(Map<String, String> environment, PrintStream err) {
+    GatewayConfig config;
+    try {
+      config = GatewayConfig.read(environment);
+    } catch (ConfigException e) {
+      err.println("hazelspoke: " + e.getMessage());
+      return 1;
+    }
+    Gateway gateway = new Gateway(config, err);
+    try {
+      gateway.start();
+    } catch (IllegalStateException e) {
+      err.println("hazelspoke: " + e.getMessage());
+      gateway.group.shutdownGracefully(0, 0, TimeUnit.MILLISECONDS);
+      return 1;
+    }
+    Runtime.getRuntime().addShutdownHook(new Thread(gateway::drain, "drain"));
+    return 0;
+  }
+
+  /** Starts everything and returns the address that clients can connect to. */
+  InetSocketAddress start() {
+    ChannelFuture binding = loop.submit(this::wire).syncUninterruptibly().getNow();
+    if (!binding.awaitUninterruptibly().isSuccess()) {
+      throw new IllegalStateException(
+          "field config.listen cannot be listened on: " + binding.cause().getMessage());
+    }
+    return (InetSocketAddress) binding.channel().localAddress();
+  }
+
+  private ChannelFuture wire() {
+    int hostSockets = config.sockets() / HOST_PART;
+    int clientSockets = Math.max(1, config.sockets() - hostSockets - OTHER_DESCRIPTORS);
+    HostClient hosts =
+        new HostClient(
+            loop, clock, config.settings().limits(), hostSockets, new ByteBudget(ANSWER_BYTES));
+    Dispatcher dispatcher = new Dispatcher(loop, config, clock, log, hosts);
+    discovery =
+        new DiscoveryClient(
+            loop,
+            config,
+            clock,
+            log,
+            update ->
+                dispatcher.onMembers(
+                    update.complete() ? MembersUpdate.Kind.FULL : MembersUpdate.Kind.DELTA, update),
+            dispatcher::onDiscoveryFailed);
+    Balancer balancer =
+        new LcStarBalancer(config.settings(), config.seed(), clock.nowMs(), dispatcher);
+    dispatcher.start(balancer, discovery);
+    dispatcher.onMembers(MembersUpdate.Kind.CACHED, config.known());
+    discovery.start();
+    clients =
+        new ClientServer(
+            loop, clock, config, dispatcher, new ByteBudget(BODY_BYTES), clientSockets);
+    return clients.listen(config.listen());
+  }
+
+  /**
+   * Takes leave: what has been taken and what still comes for a moment is served, and nothing new
+   * after that. Returns when nothing is owed any more, or when it has to be over.
+   */
+  void drain() {
+    long mostMs = (long) config.longestDeadlineMs() + DRAIN_MARGIN_MS;
+    loop.execute(
+        () -> {
+          log.line("taking leave");
+          clients.drain();
+          loop.schedule(this::stopListening, ACCEPT_ON_MS, TimeUnit.MILLISECONDS);
+        });
+    try {
+      if (!drained.await(mostMs, TimeUnit.MILLISECONDS)) {
+        log.line("left with requests unanswered");
+      }
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+    group.shutdownGracefully(0, 0, TimeUnit.MILLISECONDS).awaitUninterruptibly();
+  }
+
+  private void stopListening() {
+    clients.stopListening();
+    discovery.close();
+    loop.scheduleAtFixedRate(
+        () -> {
+          if (!clients.isBusy()) {
+            drained.countDown();
+          }
+        },
+        DRAIN_CHECK_MS,
+        DRAIN_CHECK_MS,
+        TimeUnit.MILLISECONDS);
+  }
+}
--- /dev/null
+++ b/src/main/java/hazelspoke/gateway/GatewayConfig.java
@@ -0,0 +1,103 @@
+package hazelspoke.gateway;
+
+import com.fasterxml.jackson.core.JsonFactory;
+import com.fasterxml.jackson.core.JsonParser;
+import com.fasterxml.jackson.core.JsonProcessingException;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.file.Files;
+import java.nio.file.InvalidPathException;
+import java.nio.file.Path;
+import java.util.Map;
+import ternscale.adapter.JsonTree;
+import ternscale.adapter.SettingsReader;
+import ternscale.adapter.WireException;
+import ternscale.api.Settings;
+
+/** What a gateway is told at its start: the file that NODE_CONFIG names, and the variables. */
+record GatewayConfig(
+    InetSocketAddress listen,
+    InetSocketAddress discovery,
+    long seed,
+    int sockets,
+    int openCap,
+    HostList.Update known,
+    Settings settings,
+    Names names) {
+  private static final int USUAL_SOCKETS = 1_024;
+
+  /** The longest deadline of any class: nothing is owed for longer than this. */
+  double longestDeadlineMs() {
+    return settings.classes().stream()
+        .mapToDouble(Settings.RequestClass::deadlineMs)
+        .max()
+        .orElse(0);
+  }
+
+  static GatewayConfig read(Map<String, String> environment) throws ConfigException {
+    String file = environment.get("NODE_CONFIG");
+    if (file == null || file.isEmpty()) {
+      throw new ConfigException("variable NODE_CONFIG is missing");
+    }
+    try (JsonParser parser = new JsonFactory().createParser(Files.readString(Path.of(file)))) {
+      if (parser.nextToken() == null) {
+        throw new ConfigException("the file that NODE_CONFIG names is empty");
+      }
+      return read(JsonTree.read("config", parser), environment);
+    } catch (JsonProcessingException e) {
+      throw new ConfigException(
+          "the file that NODE_CONFIG names is no JSON: " + e.getOriginalMessage());
+    } catch (IOException | InvalidPathException e) {
+      throw new ConfigException("the file that NODE_CONFIG names cannot be read: " + e);
+    }
+  }
+
+  private static GatewayConfig read(JsonTree config, Map<String, String> environment)
+      throws ConfigException {
+    try {
+      JsonTree settings = config.get("settings");
+      Names names = Names.read(settings);
+      if (names.classes().isEmpty()) {
+        throw new ConfigException("field config.settings.grades is missing");
+      }
+      return new GatewayConfig(
+          address(config, "listen", environment.get("NODE_LISTEN")),
+          address(config, "discovery", environment.get("NODE_DISCOVERY")),
+          seed(config.get("seed")),
+          config.get("limits").get("sockets").integer(USUAL_SOCKETS),
+          settings.get("limits").get("open_cap").integer(Integer.MAX_VALUE),
+          HostList.read(config.get("known"), names),
+          SettingsReader.read(settings),
+          names);
+    } catch (WireException e) {
+      throw new ConfigException(e.getMessage());
+    } catch (IllegalArgumentException e) {
+      throw new ConfigException("field config.settings: " + e.getMessage());
+    }
+  }
+
+  private static InetSocketAddress address(JsonTree config, String key, String variable)
+      throws ConfigException {
+    String text = variable != null ? variable : config.get(key).text(null);
+    if (text == null) {
+      throw new ConfigException("field config." + key + " is missing");
+    }
+    InetSocketAddress address = Addresses.parse(text);
+    if (address == null) {
+      throw new ConfigException("field config." + key + " is no address and port: " + text);
+    }
+    return address;
+  }
+
+  private static long seed(JsonTree seed) throws ConfigException {
+    String text = seed.text(null);
+    if (text == null) {
+      throw new ConfigException("field config.seed is missing");
+    }
+    try {
+      return Long.parseUnsignedLong(text, 16);
+    } catch (NumberFormatException e) {
+      throw new ConfigException("field config.seed is no hexadecimal number of 64 bits");
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/hazelspoke/gateway/Headers.java
@@ -0,0 +1,62 @@
+package hazelspoke.gateway;
+
+import io.netty.handler.codec.http.DefaultHttpRequest;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpVersion;
+import java.util.Arrays;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Set;
+
+/** The headers of this deployment's protocol, and those that end at a gateway. */
+final class Headers {
+  static final String CLASS = "X-Lane";
+  static final String TENANT = "X-Org";
+  static final String KEY = "X-Entity";
+  static final String REMAINING = "X-Remaining";
+  static final String RESENT = "X-Resent";
+  static final String COST_HINT = "X-Estimate";
+  static final String TURNED_AWAY = "X-Turned-Away";
+  static final String LOAD_REPORT = "X-Pressure";
+
+  /** Those that speak of one connection or of how a message is cut, not of the message. */
+  private static final Set<String> HOP_BY_HOP =
+      Set.of(
+          "connection",
+          "keep-alive",
+          "proxy-connection",
+          "te",
+          "trailer",
+          "transfer-encoding",
+          "upgrade",
+          "expect",
+          "content-length");
+
+  private Headers() {}
+
+  static void copyEndToEnd(HttpHeaders from, HttpHeaders to) {
+    String named =
+        String.join(",", from.getAll(HttpHeaderNames.CONNECTION)).toLowerCase(Locale.ROOT);
+    Set<String> listed = Set.of(named.isBlank() ? new String[0] : distinct(named));
+    for (Map.Entry<String, String> header : from) {
+      String name = header.getKey().toLowerCase(Locale.ROOT);
+      if (!HOP_BY_HOP.contains(name) && !listed.contains(name)) {
+        to.add(header.getKey(), header.getValue());
+      }
+    }
+  }
+
+  /** A request for this path, with nothing to it. */
+  static HttpRequest get(String path, String authority) {
+    HttpRequest request = new DefaultHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, path);
+    request.headers().set(HttpHeaderNames.HOST, authority);
+    return request;
+  }
+
+  private static String[] distinct(String list) {
+    return Arrays.stream(list.split(",")).map(String::trim).distinct().toArray(String[]::new);
+  }
+}
--- /dev/null
+++ b/src/main/java/hazelspoke/gateway/HostClient.java
@@ -0,0 +1,229 @@
+package hazelspoke.gateway;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.handler.codec.http.EmptyHttpHeaders;
+import io.netty.handler.codec.http.HttpClientCodec;
+import java.net.InetSocketAddress;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import ternscale.api.Outcome.Result;
+
+/** The connections to hosts: one pool a host, most recently used first, and a bound for all. */
+final class HostClient {
+  /** A rested connection is closed after this part of the time after which its host closes it. */
+  private static final double IDLE_PART = 0.8;
+
+  private static final long SWEEP_MS = 250;
+
+  private final EventLoop loop;
+  private final Clock clock;
+  private final Bootstrap bootstrap;
+  private final double idleMs;
+  private final int mostConnections;
+  private final ByteBudget answerBudget;
+  private final Map<String, Pool> pools = new HashMap<>();
+  private int connections;
+
+  HostClient(
+      EventLoop loop,
+      Clock clock,
+      ternscale.api.Settings.Limits limits,
+      int mostConnections,
+      ByteBudget answerBudget) {
+    this.loop = loop;
+    this.clock = clock;
+    this.mostConnections = mostConnections;
+    this.answerBudget = answerBudget;
+    idleMs = IDLE_PART * limits.idleConnectionMs();
+    bootstrap =
+        new Bootstrap()
+            .group(loop)
+            .channel(NioSocketChannel.class)
+            .option(ChannelOption.ALLOCATOR, Buffers.ALLOCATOR)
+            .option(ChannelOption.RECVBUF_ALLOCATOR, Buffers.reads())
+            .option(ChannelOption.WRITE_BUFFER_WATER_MARK, Buffers.WATER_MARK)
+            .option(ChannelOption.TCP_NODELAY, true)
+            .option(
+                ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) Math.max(1, limits.connectTimeoutMs()));
+    loop.scheduleAtFixedRate(this::sweep, SWEEP_MS, SWEEP_MS, TimeUnit.MILLISECONDS);
+  }
+
+  double nowMs() {
+    return clock.nowMs();
+  }
+
+  ByteBudget answerBudget() {
+    return answerBudget;
+  }
+
+  /** Where a host is reached; its address may change while its name stays. */
+  void setAddress(String host, InetSocketAddress address) {
+    Pool pool = pools.computeIfAbsent(host, name -> new Pool());
+    if (!address.equals(pool.address)) {
+      pool.closeIdle();
+      pool.address = address;
+    }
+  }
+
+  /** Starts a call, which is told how it ended on a later turn of the loop. */
+  Ticket start(String host, HostCall call) {
+    Ticket ticket = new Ticket(call);
+    Pool pool = pools.get(host);
+    if (pool == null) {
+      loop.execute(() -> ticket.fail(Result.CONNECT_FAILED));
+      return ticket;
+    }
+    HostConnection idle = pool.takeIdle();
+    if (idle != null) {
+      ticket.connection = idle;
+      loop.execute(ticket::begin);
+    } else if (connections < mostConnections || closeOneIdle()) {
+      pool.connect(ticket);
+    } else {
+      loop.execute(() -> ticket.fail(Result.NOT_SENT));
+    }
+    return ticket;
+  }
+
+  void closeIdle(String host) {
+    Pool pool = pools.get(host);
+    if (pool != null) {
+      pool.closeIdle();
+    }
+  }
+
+  private boolean closeOneIdle() {
+    for (Pool pool : pools.values()) {
+      HostConnection oldest = pool.idle.pollLast();
+      if (oldest != null) {
+        oldest.close();
+        return true;
+      }
+    }
+    return false;
+  }
+
+  private void sweep() {
+    double before = clock.nowMs() - idleMs;
+    for (Pool pool : pools.values()) {
+      while (!pool.idle.isEmpty() && pool.idle.peekLast().restsSince < before) {
+        pool.idle.pollLast().close();
+      }
+    }
+  }
+
+  /** One call under way; lets its owner stop waiting. */
+  final class Ticket {
+    private final HostCall call;
+    private HostConnection connection;
+    private boolean over;
+
+    private Ticket(HostCall call) {
+      this.call = call;
+    }
+
+    private void begin() {
+      if (over) {
+        connection.close();
+      } else {
+        connection.begin(call);
+      }
+    }
+
+    private void fail(Result result) {
+      if (!over) {
+        call.ended(result, EmptyHttpHeaders.INSTANCE);
+      }
+    }
+
+    /** Whether the host may have begun the call: its last byte was handed to the socket. */
+    boolean isSent() {
+      return connection != null && connection.isSent();
+    }
+
+    /** Stops waiting; the call is told nothing more. */
+    void giveUp() {
+      over = true;
+      if (connection != null) {
+        connection.giveUp();
+      }
+    }
+  }
+
+  /** The connections to one host. */
+  final class Pool {
+    private final Deque<HostConnection> idle = new ArrayDeque<>();
+    private InetSocketAddress address;
+
+    String authority() {
+      return address.getHostString() + ":" + address.getPort();
+    }
+
+    private HostConnection takeIdle() {
+      double before = clock.nowMs() - idleMs;
+      HostConnection c;
+      while ((c = idle.pollFirst()) != null) {
+        if (c.isOpen() && c.restsSince >= before) {
+          return c;
+        }
+        c.close();
+      }
+      return null;
+    }
+
+    private void connect(Ticket ticket) {
+      connections++;
+      ChannelFuture connecting =
+          bootstrap
+              .clone()
+              .handler(
+                  new ChannelInitializer<SocketChannel>() {
+                    @Override
+                    protected void initChannel(SocketChannel ch) {
+                      LastByteGate gate = new LastByteGate();
+                      HttpClientCodec codec =
+                          new HttpClientCodec(Buffers.decoderConfig(), false, false);
+                      ticket.connection = new HostConnection(HostClient.this, Pool.this, gate, ch);
+                      ch.pipeline().addLast(gate, codec, ticket.connection);
+                    }
+                  })
+              .connect(address);
+      connecting.channel().closeFuture().addListener(closed -> connections--);
+      connecting.addListener(
+          done ->
+              loop.execute(
+                  () -> {
+                    if (done.isSuccess()) {
+                      ticket.begin();
+                    } else {
+                      ticket.fail(Result.CONNECT_FAILED);
+                    }
+                  }));
+    }
+
+    void rest(HostConnection c) {
+      c.restsSince = clock.nowMs();
+      idle.addFirst(c);
+    }
+
+    void closed(HostConnection c) {
+      idle.remove(c);
+    }
+
+    private void closeIdle() {
+      HostConnection c;
+      while ((c = idle.pollFirst()) != null) {
+        c.close();
+      }
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/hazelspoke/gateway/Names.java
@@ -0,0 +1,79 @@
+package hazelspoke.gateway;
+
+import java.util.ArrayList;
+import java.util.List;
+import ternscale.adapter.JsonTree;
+
+/** The names that peers use on sockets, each list in the order of the settings. */
+record Names(
+    List<String> classes,
+    List<String> tenants,
+    List<String> zones,
+    List<String> kinds,
+    List<String> reportColumns) {
+  static Names read(JsonTree settings) {
+    return new Names(
+        field(settings.get("grades"), "name"),
+        field(settings.get("tenants"), "name"),
+        texts(settings.get("areas")),
+        texts(settings.get("kinds")),
+        texts(settings.get("report").get("columns")));
+  }
+
+  private static List<String> field(JsonTree list, String key) {
+    List<String> out = new ArrayList<>();
+    for (JsonTree item : list.list()) {
+      out.add(item.get(key).text(""));
+    }
+    return List.copyOf(out);
+  }
+
+  private static List<String> texts(JsonTree list) {
+    List<String> out = new ArrayList<>();
+    for (JsonTree item : list.list()) {
+      out.add(item.text(""));
+    }
+    return List.copyOf(out);
+  }
+
+  /** A tenant's place; an unknown one comes after all others, where no quota is looked for. */
+  int tenant(String name) {
+    int place = name == null ? 0 : tenants.indexOf(name);
+    return place < 0 ? tenants.size() : place;
+  }
+
+  /** A kind's place; all unknown ones share the place after the known. */
+  int kind(String name) {
+    int place = kinds.indexOf(name);
+    return place < 0 ? kinds.size() : place;
+  }
+
+  /**
+   * A load report in the order of the settings, from text such as {@code TEXT inflight=7, queue=2};
+   * empty when it does not hold every column.
+   */
+  List<Double> report(String text) {
+    List<Double> out = new ArrayList<>();
+    for (String column : reportColumns) {
+      Double value = valueOf(column, text);
+      if (value == null) {
+        return List.of();
+      }
+      out.add(value);
+    }
+    return out;
+  }
+
+  private static Double valueOf(String name, String text) {
+    for (String part : text.split("[\\s,]+")) {
+      if (part.startsWith(name + "=")) {
+        try {
+          return Double.valueOf(part.substring(name.length() + 1));
+        } catch (NumberFormatException e) {
+          return null;
+        }
+      }
+    }
+    return null;
+  }
+}
--- /dev/null
+++ b/src/main/java/ternscale/adapter/JsonTree.java
@@ -0,0 +1,137 @@
+package ternscale.adapter;
+
+import com.fasterxml.jackson.core.JsonParser;
+import com.fasterxml.jackson.core.JsonToken;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+
+/** A small JSON value with typed access; used for the settings, which come once an instance. */
+public final class JsonTree {
+  private final String path;
+  private final Object value;
+
+  private JsonTree(String path, Object value) {
+    this.path = path;
+    this.value = value;
+  }
+
+  static JsonTree read(JsonParser parser) throws IOException {
+    return read("settings", parser);
+  }
+
+  /** Reads the value that the parser stands on; complaints call it {@code path}. */
+  public static JsonTree read(String path, JsonParser parser) throws IOException {
+    return new JsonTree(path, readValue(parser));
+  }
+
+  /** A value that was read elsewhere: a map, list, string, double, boolean or null. */
+  public static JsonTree of(String path, Object value) {
+    return new JsonTree(path, value);
+  }
+
+  private static Object readValue(JsonParser parser) throws IOException {
+    switch (parser.currentToken()) {
+      case START_OBJECT -> {
+        Map<String, Object> map = new LinkedHashMap<>();
+        while (parser.nextToken() == JsonToken.FIELD_NAME) {
+          String key = parser.currentName();
+          parser.nextToken();
+          map.put(key, readValue(parser));
+        }
+        return map;
+      }
+      case START_ARRAY -> {
+        List<Object> list = new ArrayList<>();
+        while (parser.nextToken() != JsonToken.END_ARRAY) {
+          list.add(readValue(parser));
+        }
+        return list;
+      }
+      case VALUE_STRING -> {
+        return parser.getText();
+      }
+      case VALUE_NUMBER_INT, VALUE_NUMBER_FLOAT -> {
+        return parser.getDoubleValue();
+      }
+      case VALUE_TRUE -> {
+        return Boolean.TRUE;
+      }
+      case VALUE_FALSE -> {
+        return Boolean.FALSE;
+      }
+      default -> {
+        return null;
+      }
+    }
+  }
+
+  /** A member; an absent one is a value that takes every default. */
+  public JsonTree get(String key) {
+    if (value == null) {
+      return new JsonTree(path + "." + key, null);
+    }
+    if (!(value instanceof Map<?, ?> map)) {
+      throw fail("is no object");
+    }
+    return new JsonTree(path + "." + key, map.get(key));
+  }
+
+  public List<JsonTree> list() {
+    if (value == null) {
+      return List.of();
+    }
+    if (!(value instanceof List<?> list)) {
+      throw fail("is no array");
+    }
+    List<JsonTree> out = new ArrayList<>();
+    for (int i = 0; i < list.size(); i++) {
+      out.add(new JsonTree(path + "[" + i + "]", list.get(i)));
+    }
+    return out;
+  }
+
+  public double number(double absent) {
+    if (value == null) {
+      return absent;
+    }
+    if (!(value instanceof Double d) || !Double.isFinite(d)) {
+      throw fail("is no number");
+    }
+    return d;
+  }
+
+  public int integer(int absent) {
+    double d = number(absent);
+    if (d != (int) d) {
+      throw fail("is no whole number");
+    }
+    return (int) d;
+  }
+
+  public boolean flag(boolean absent) {
+    if (value == null) {
+      return absent;
+    }
+    if (!(value instanceof Boolean b)) {
+      throw fail("is no boolean");
+    }
+    return b;
+  }
+
+  public String text(String absent) {
+    if (value == null) {
+      return absent;
+    }
+    if (!(value instanceof String s)) {
+      throw fail("is no string");
+    }
+    return s;
+  }
+
+  public WireException fail(String what) {
+    return new WireException("field " + path + " " + what);
+  }
+}
--- /dev/null
+++ b/src/main/java/ternscale/adapter/WireException.java
@@ -0,0 +1,10 @@
+package ternscale.adapter;
+
+/** Input that the dialect does not allow; the message names the line and the field. */
+public final class WireException extends RuntimeException {
+  private static final long serialVersionUID = 1L;
+
+  WireException(String message) {
+    super(message);
+  }
+}
--- /dev/null
+++ b/src/main/java/ternscale/api/HostEntry.java
@@ -0,0 +1,28 @@
+package ternscale.api;
+
+import java.util.Objects;
+
+/** One host as discovery lists it. {@code startedAt} of 0 means long ago. */
+public record HostEntry(
+    String host,
+    double weight,
+    int kind,
+    int zone,
+    int cell,
+    Availability availability,
+    double startedAt) {
+  /** Whether a host may be sent to. */
+  public enum Availability {
+    UP,
+    DRAINING,
+    GONE
+  }
+
+  public HostEntry {
+    Objects.requireNonNull(host, "host");
+    Objects.requireNonNull(availability, "availability");
+    if (!(weight >= 0) || Double.isInfinite(weight)) {
+      throw new IllegalArgumentException("weight of " + host + " must be 0 or more: " + weight);
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/ternscale/api/MembersUpdate.java
@@ -0,0 +1,24 @@
+package ternscale.api;
+
+import java.util.List;
+import java.util.Objects;
+
+/** News from discovery. */
+public record MembersUpdate(Kind kind, long version, List<HostEntry> entries) {
+  /** What the entries stand for. */
+  public enum Kind {
+    /** Only what changed. */
+    DELTA,
+    /** The complete list. */
+    FULL,
+    /** The complete list this gateway last held, perhaps outdated. */
+    CACHED,
+    /** A call failed or the subscription broke; no entries. */
+    FAILED
+  }
+
+  public MembersUpdate {
+    Objects.requireNonNull(kind, "kind");
+    entries = List.copyOf(entries);
+  }
+}
--- /dev/null
+++ b/src/main/java/ternscale/policy/Admission.java
@@ -0,0 +1,250 @@
+package ternscale.policy;
+
+import java.util.Arrays;
+import java.util.Comparator;
+import java.util.Random;
+import java.util.stream.IntStream;
+import ternscale.api.Outcome.Result;
+import ternscale.api.RequestInfo;
+import ternscale.api.Settings;
+import ternscale.api.Settings.RequestClass;
+
+/**
+ * Load shedding and the retry budget. What would end late anyway is refused at once, the least
+ * worth per unit of work first: traffic over a tenant's share, then the cheaper classes.
+ */
+final class Admission {
+  /**
+   * An answer this far into its aim shows queues. The sooner that is seen the shorter they stay,
+   * but what takes half its aim on idle hosts is no jam: so by the usual time, within these bounds.
+   */
+  private static final double LEAST_LATE = 0.4;
+
+  private static final double NEARLY_LATE = 0.7;
+  private static final double USUAL_FACTOR = 2.5;
+
+  /** The usual time is a low quantile, which queues move last; it moves slowly. */
+  private static final double USUAL_QUANTILE = 0.3;
+
+  private static final double USUAL_STEP = 0.02;
+
+  private static final double USUAL_SPAN_MS = 100;
+
+  /**
+   * The shed level moves by time, so that a gateway with little traffic leaves a jam as soon as one
+   * with much. The two balance where one outcome in four is bad.
+   */
+  private static final double RISE_PER_MS = 0.5e-3;
+
+  /**
+   * While clients do not repeat, what is late feeds no jam and refusing soon costs more
+   * (bc-screening, calm days); told apart only where repeats are marked.
+   */
+  private static final double CALM_RISE_PER_MS = 0.3e-3;
+
+  private static final double CALM_REPEATS = 0.05;
+
+  private static final double FALL_PER_MS = 0.15e-3;
+
+  /** One outcome speaks for at most this long, and takes up this part of it. */
+  private static final double OUTCOME_SPAN_MS = 500;
+
+  private static final double OUTCOME_PART = 0.5;
+
+  /** Levels that a few late answers reach by chance; nothing is refused for them. */
+  private static final double DEAD_BAND = 0.1;
+
+  /** Some traffic always passes, or nothing would tell that the jam is over. */
+  private static final double MOST_SHED = 0.9;
+
+  /** The order of refusal is renewed this often, as another class becomes the one served worst. */
+  private static final double ORDER_MS = 200;
+
+  /** Memory of the traffic mix. */
+  private static final double MIX_MEMORY_MS = 5_000;
+
+  /** Retry budget: this part of the first sends, so that retries cannot feed a jam. */
+  private static final double RETRY_SHARE = 0.1;
+
+  private static final double RETRY_COST_OF_ERROR = 0.1;
+
+  private static final double RETRY_BURST = 5;
+
+  /** A hint this far beyond the aim is met only by an idle fast host, so it goes first in a jam. */
+  private static final double TOO_HEAVY_FACTOR = 1.5;
+
+  /** And this far beyond it by none: it would only hold up what can be in time. */
+  private static final double HOPELESS_FACTOR = 4;
+
+  private static final int BUCKETS = 4;
+  private static final int OVER_SHARE = 1;
+  private static final int TOO_HEAVY = 2;
+
+  private final Settings settings;
+  private final Random random;
+  private final double startedAt;
+
+  /** Decayed work by class, whether over the tenant's share, and whether too heavy for its aim. */
+  private final double[] work;
+
+  private int[] byDensity;
+
+  /** Worth asked for and served in time by class: the goal may weigh the class served worst. */
+  private final double[] asked;
+
+  private final double[] served;
+  private double orderedAt;
+  private final double[] tenantCount;
+  private final double[] usual;
+  private final double[] usualAt;
+  private double at;
+  private double level;
+  private double heardAt;
+  private double repeats;
+  private double retryTokens = RETRY_BURST;
+
+  Admission(Settings settings, Random random, double now) {
+    this.settings = settings;
+    this.random = random;
+    startedAt = now;
+    at = now;
+    heardAt = now;
+    work = new double[BUCKETS * settings.classes().size()];
+    tenantCount = new double[settings.tenants().size()];
+    usual = new double[settings.classes().size()];
+    usualAt = new double[settings.classes().size()];
+    asked = new double[settings.classes().size()];
+    served = new double[settings.classes().size()];
+    order(now);
+  }
+
+  /** Orders the buckets by what the goal loses per unit of work refused. */
+  private void order(double now) {
+    orderedAt = now;
+    int worst =
+        IntStream.range(0, asked.length)
+            .reduce(0, (w, c) -> served[c] * asked[w] < served[w] * asked[c] ? c : w);
+    double share = asked[worst] / Math.max(1e-9, Arrays.stream(asked).sum());
+    Settings.Goal goal = settings.goal();
+    double general = Math.max(1e-9, goal.whole() + goal.worstWindow());
+    double factor = share > 0 ? 1 + goal.worstClass() / general / share : 1;
+    byDensity =
+        IntStream.range(0, work.length)
+            .boxed()
+            .sorted(
+                Comparator.comparingDouble(b -> density(b) * (b / BUCKETS == worst ? factor : 1)))
+            .mapToInt(Integer::intValue)
+            .toArray();
+  }
+
+  private double density(int bucket) {
+    RequestClass c = settings.classes().get(bucket / BUCKETS);
+    return c.worth()
+        * ((bucket & OVER_SHARE) != 0 ? settings.overShareWorth() : 1)
+        * ((bucket & TOO_HEAVY) != 0 ? c.lateWorth() : 1);
+  }
+
+  /** Whether to take a request on; false means refuse it now. */
+  boolean admits(Pending p, double now) {
+    age(now);
+    RequestInfo r = p.info;
+    int bucket = BUCKETS * r.requestClass() + (overShare(r.tenant(), now) ? OVER_SHARE : 0);
+    if (r.costHint() > TOO_HEAVY_FACTOR * p.aimMs()) {
+      bucket |= TOO_HEAVY;
+    }
+    if (density(bucket) <= 0 && r.costHint() > HOPELESS_FACTOR * p.type.aimMs()) {
+      return false;
+    }
+    repeats += ((r.clientRetry() ? 1 : 0) - repeats) * 0.02;
+    work[bucket] += p.work();
+    asked[r.requestClass()] += p.worth();
+    if (now - orderedAt > ORDER_MS) {
+      order(now);
+    }
+    if (level <= DEAD_BAND) {
+      return true;
+    }
+    double left = (level - DEAD_BAND) * Arrays.stream(work).sum();
+    for (int b : byDensity) {
+      if (b == bucket) {
+        return random.nextDouble() * work[b] >= left;
+      }
+      left -= work[b];
+      if (left <= 0) {
+        return true;
+      }
+    }
+    return true;
+  }
+
+  /** Draws whether this request lies past its tenant's share, judged by the own part of it. */
+  private boolean overShare(int tenant, double now) {
+    if (tenant >= tenantCount.length) {
+      return false;
+    }
+    tenantCount[tenant]++;
+    double quota = settings.tenants().get(tenant).quotaRps();
+    double seen = MIX_MEMORY_MS * (1 - Math.exp((startedAt - now - 1) / MIX_MEMORY_MS));
+    double rate = 1000 * tenantCount[tenant] / Math.max(seen, 1000) * settings.instances();
+    return quota > 0 && rate > quota && random.nextDouble() > quota / rate;
+  }
+
+  private double usual(int c, double elapsedMs, double now) {
+    double part = Math.min(1, (now - usualAt[c]) / USUAL_SPAN_MS);
+    usualAt[c] = now;
+    if (usual[c] == 0) {
+      usual[c] = elapsedMs;
+    }
+    double toward = elapsedMs < usual[c] ? USUAL_QUANTILE - 1 : USUAL_QUANTILE;
+    return usual[c] *= 1 + USUAL_STEP * part * toward;
+  }
+
+  void onOutcome(Pending p, Result result, double elapsedMs, double now) {
+    RequestClass c = p.type;
+    double late = NEARLY_LATE * c.aimMs();
+    if (result == Result.OK) {
+      served[p.info.requestClass()] += now <= p.aimAt() ? p.worth() : 0;
+      double usual = USUAL_FACTOR * usual(p.info.requestClass(), elapsedMs, now);
+      late = Math.min(late, Math.max(LEAST_LATE * c.aimMs(), usual));
+    }
+    double span = Math.min(OUTCOME_SPAN_MS, now - heardAt);
+    if (result == Result.OK && elapsedMs <= late) {
+      level = Math.max(0, level - FALL_PER_MS * span);
+    } else if (result == Result.OK || result == Result.REJECTED || result == Result.TIMEOUT) {
+      level = Math.min(MOST_SHED, level + risePerMs(result) * span);
+    } else {
+      return;
+    }
+    // Outcomes of one tick share its span, or only the first of them would count.
+    heardAt = now - span * (1 - OUTCOME_PART);
+  }
+
+  private double risePerMs(Result result) {
+    boolean calm = settings.clientsMarkRetries() && repeats < CALM_REPEATS;
+    return calm && result == Result.OK ? CALM_RISE_PER_MS : RISE_PER_MS;
+  }
+
+  void onFirstSend() {
+    retryTokens = Math.min(RETRY_BURST, retryTokens + RETRY_SHARE);
+  }
+
+  /** Takes one retry from the budget, if there is one. An error says nothing of load: cheap. */
+  boolean takeRetry(Result after) {
+    boolean load = after == Result.REJECTED || after == Result.TIMEOUT;
+    double cost = load ? 1 : RETRY_COST_OF_ERROR;
+    boolean enough = retryTokens >= cost;
+    retryTokens -= enough ? cost : 0;
+    return enough;
+  }
+
+  private void age(double now) {
+    double keep = Math.exp((at - now) / MIX_MEMORY_MS);
+    at = now;
+    for (int i = 0; i < work.length; i++) {
+      work[i] *= keep;
+    }
+    for (int i = 0; i < tenantCount.length; i++) {
+      tenantCount[i] *= keep;
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/ternscale/policy/LcStarBalancer.java
@@ -0,0 +1,334 @@
+package ternscale.policy;
+
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import ternscale.api.Actions;
+import ternscale.api.Balancer;
+import ternscale.api.HostEntry.Availability;
+import ternscale.api.MembersUpdate;
+import ternscale.api.Outcome;
+import ternscale.api.ProbeResult;
+import ternscale.api.RequestInfo;
+import ternscale.api.Settings;
+import ternscale.api.Settings.Effect;
+
+/**
+ * The life of a request under LC*: hold, send, retry, end. Every send passes {@link #send}, which
+ * checks the four rules; every final answer passes {@link #end}.
+ */
+public final class LcStarBalancer implements Balancer {
+  private static final long HOLD_TIMER = 2;
+
+  /** Recent hints from which the cutoff is taken. */
+  private static final int CUTOFF_SAMPLE = 512;
+
+  /** Share of requests above the cutoff: the paper's marked under 3 percent as long. */
+  private static final double LONG_SHARE = 0.03;
+
+  /** A long one waits this part of its aim; the paper lets it wait without end. */
+  private static final double LONG_WAIT = 0.1;
+
+  /**
+   * Connections idle for this long are closed: at full size, one from each gateway to each host
+   * fills the hosts' tables (incident i59fa1d). Hosts in steady use keep theirs.
+   */
+  private static final double LINGER_MS = 1_000;
+
+  private final Settings settings;
+  private final Actions actions;
+  private final ColdStart coldStart;
+  private final HostTable hosts;
+  private final Selector selector;
+  private final Admission admission;
+  private final Membership membership;
+  private final Map<String, Pending> requests = new HashMap<>();
+  private final List<Pending> held = new ArrayList<>();
+  private final double[] hints = new double[CUTOFF_SAMPLE];
+  private int hintCount;
+  private double cutoff = Double.POSITIVE_INFINITY;
+  private double sweptAt = Double.NEGATIVE_INFINITY;
+  private boolean holdTimerSet;
+  private boolean closed;
+
+  public LcStarBalancer(Settings settings, long seed, double now, Actions actions) {
+    this.settings = settings;
+    this.actions = actions;
+    Random random = new Random(seed);
+    coldStart = new ColdStart(settings.rules(), random, now);
+    hosts = new HostTable(settings, coldStart);
+    selector = new Selector(hosts, settings, random);
+    admission = new Admission(settings, random, now);
+    membership = new Membership(settings, actions, random);
+    membership.start();
+  }
+
+  @Override
+  public void onMembers(double now, MembersUpdate update) {
+    checkOpen();
+    hosts.apply(update, now);
+    coldStart.census(hosts.ring(), now);
+    membership.onUpdate(update);
+    retryHeld(now);
+  }
+
+  @Override
+  public void onRequest(double now, RequestInfo request) {
+    checkOpen();
+    int c = request.requestClass();
+    if (c < 0 || c >= settings.classes().size()) {
+      throw new IllegalArgumentException("unknown request class: " + c);
+    }
+    noteHint(request.costHint());
+    Pending p = new Pending(request, settings.classes().get(c), now, request.costHint() >= cutoff);
+    if (requests.putIfAbsent(request.id(), p) != null) {
+      throw new IllegalArgumentException("request id used before: " + request.id());
+    }
+    if (now - sweptAt > LINGER_MS / 4) {
+      sweptAt = now;
+      closeIdle(now);
+      coldStart.census(hosts.ring(), now);
+    }
+    selector.onRequest(request.key(), requests.size());
+    if (admission.admits(p, now)) {
+      place(p, now);
+    } else {
+      end(p, now);
+    }
+  }
+
+  @Override
+  public void onClientGone(double now, String requestId) {
+    checkOpen();
+    Pending p = requests.get(requestId);
+    if (p != null && !p.ended) {
+      close(p);
+      cancelOut(p);
+    }
+  }
+
+  @Override
+  public void onOutcome(double now, Outcome outcome) {
+    checkOpen();
+    Host h = hosts.get(outcome.host());
+    Pending p = requests.get(outcome.requestId());
+    Pending.Attempt a = p == null ? null : takeOut(p, outcome.attempt());
+    if (a == null) {
+      return;
+    }
+    h.inFlight--;
+    h.connectedAt = now;
+    h.longs -= a.isLong() ? 1 : 0;
+    hosts.learn(h, p, outcome.result(), outcome.elapsedMs(), now);
+    if (!p.ended && !p.isLong && h.rejections <= HostTable.EJECT_REJECTIONS) {
+      admission.onOutcome(p, outcome.result(), outcome.elapsedMs(), now);
+    }
+    if (outcome.result() == Outcome.Result.OK) {
+      coldStart.onServed(h, p.work(), now);
+    }
+    if (!outcome.result().neverRan()) {
+      p.mayHaveRun(a);
+    }
+    if (p.ended || outcome.requestEnded()) {
+      if (!p.ended) {
+        close(p);
+        cancelOut(p);
+      }
+      forget(p);
+    } else {
+      p.failedOn.add(h);
+      if (p.out.isEmpty()) {
+        if (admission.takeRetry(outcome.result())) {
+          place(p, now);
+        } else {
+          end(p, now);
+        }
+      }
+    }
+    retryHeld(now);
+  }
+
+  @Override
+  public void onAnswerStarted(double now, String requestId, int attempt, String host) {
+    checkOpen();
+    Pending p = requests.get(requestId);
+    if (p != null && !p.ended) {
+      close(p);
+    }
+  }
+
+  @Override
+  public void onTimer(double now, long timer) {
+    checkOpen();
+    if (timer == Membership.TIMER) {
+      membership.onTimer();
+    } else if (timer == HOLD_TIMER) {
+      holdTimerSet = false;
+      retryHeld(now);
+    }
+  }
+
+  @Override
+  public void onProbeResult(double now, ProbeResult result) {
+    checkOpen();
+  }
+
+  @Override
+  public void onPeerMessage(double now, int sender, String data) {
+    checkOpen();
+  }
+
+  @Override
+  public void close() {
+    closed = true;
+  }
+
+  /** Sends the request where LC* says, or holds it, or ends it when nothing more may be tried. */
+  private void place(Pending p, double now) {
+    boolean mayRetry =
+        p.attempts < settings.limits().maxAttempts()
+            && !(p.type.effect() == Effect.ONCE && p.anyMayHaveRun())
+            && now < giveUpAt(p);
+    if (!mayRetry) {
+      end(p, now);
+      return;
+    }
+    Host h = selector.pick(p.info.key(), p.isLong, now, host -> maySend(p, host, now));
+    if (h == null && p.isLong && now - p.arrivedAt > LONG_WAIT * p.type.aimMs()) {
+      h = selector.pick(p.info.key(), false, now, host -> maySend(p, host, now));
+    }
+    if (h != null) {
+      send(p, h, now);
+    } else if (!p.held) {
+      p.held = true;
+      held.add(p);
+      setHoldTimer();
+    }
+  }
+
+  /** Incident i59fa1d: no host of use left, as idle connections had filled their tables. */
+  private void closeIdle(double now) {
+    for (Host h : hosts.ring()) {
+      if (h.connectedAt > 0 && h.inFlight == 0 && now - h.connectedAt > LINGER_MS) {
+        h.connectedAt = 0;
+        actions.closeIdle(h.id);
+      }
+    }
+  }
+
+  /** Past this nothing is worth starting: the client leaves, or the answer would be worthless. */
+  private double giveUpAt(Pending p) {
+    double last = p.info.deadline() - 2 * settings.tickMs();
+    return p.type.lateWorth() > 0 ? last : Math.min(last, p.aimAt() - settings.tickMs());
+  }
+
+  /** The four rules, for one request and one host. */
+  private boolean maySend(Pending p, Host h, double now) {
+    return h.availability == Availability.UP
+        && h.ejectedUntil <= now
+        && (h.erringUntil <= now || p.type.effect() == Effect.REPEATABLE)
+        && !p.failedOn.contains(h)
+        && coldStart.admits(h, now)
+        && p.effectAllows(h, now, settings.tickMs());
+  }
+
+  private void send(Pending p, Host h, double now) {
+    if (p.ended
+        || p.attempts >= settings.limits().maxAttempts()
+        || (!p.out.isEmpty() && !settings.limits().secondCopies())
+        || !maySend(p, h, now)) {
+      throw new IllegalStateException("a rule forbids sending " + p.info.id() + " to " + h.id);
+    }
+    p.out.add(new Pending.Attempt(p.attempts++, h, now, p.isLong));
+    h.inFlight++;
+    h.connectedAt = now;
+    h.longs += p.isLong ? 1 : 0;
+    coldStart.onSend(h, p.work(), now);
+    if (p.attempts == 1) {
+      admission.onFirstSend();
+    }
+    actions.send(p.info.id(), h.id, 0);
+  }
+
+  private void end(Pending p, double now) {
+    close(p);
+    if (p.mayRefuse()) {
+      actions.refuse(p.info.id(), 0);
+    } else {
+      actions.fail(p.info.id());
+    }
+    cancelOut(p);
+    forget(p);
+  }
+
+  private void close(Pending p) {
+    p.ended = true;
+    forget(p);
+  }
+
+  private void cancelOut(Pending p) {
+    if (settings.limits().mayCancel()) {
+      for (Pending.Attempt a : p.out) {
+        actions.cancel(p.info.id(), a.number());
+      }
+    }
+  }
+
+  private void forget(Pending p) {
+    if (p.ended && p.out.isEmpty()) {
+      requests.remove(p.info.id());
+    }
+  }
+
+  private static Pending.Attempt takeOut(Pending p, int number) {
+    for (int i = 0; i < p.out.size(); i++) {
+      if (p.out.get(i).number() == number) {
+        return p.out.remove(i);
+      }
+    }
+    return null;
+  }
+
+  private void retryHeld(double now) {
+    if (held.isEmpty()) {
+      return;
+    }
+    List<Pending> again = new ArrayList<>(held);
+    held.clear();
+    for (Pending p : again) {
+      p.held = false;
+      if (!p.ended) {
+        place(p, now);
+      }
+    }
+    if (!held.isEmpty()) {
+      setHoldTimer();
+    }
+  }
+
+  private void setHoldTimer() {
+    if (!holdTimerSet) {
+      holdTimerSet = true;
+      actions.setTimer(HOLD_TIMER, Math.max(2 * settings.tickMs(), 1));
+    }
+  }
+
+  private void noteHint(double hint) {
+    hints[hintCount++ % CUTOFF_SAMPLE] = hint;
+    if (hintCount % 64 == 0) {
+      double[] sorted = Arrays.copyOf(hints, Math.min(hintCount, CUTOFF_SAMPLE));
+      Arrays.sort(sorted);
+      double high = sorted[(int) ((1 - LONG_SHARE) * sorted.length)];
+      cutoff = high > sorted[0] ? high : Double.POSITIVE_INFINITY;
+    }
+  }
+
+  private void checkOpen() {
+    if (closed) {
+      throw new IllegalStateException("event for a closed balancer");
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/ternscale/policy/Membership.java
@@ -0,0 +1,73 @@
+package ternscale.policy;
+
+import java.util.Random;
+import ternscale.api.Actions;
+import ternscale.api.MembersUpdate;
+import ternscale.api.Settings;
+import ternscale.api.Settings.Discovery;
+
+/**
+ * Follows the list. Where discovery speaks only when asked, it is one slow service for every
+ * gateway: the first calls are spread by the gateway's own number, later ones back off with jitter.
+ */
+final class Membership {
+  static final long TIMER = 1;
+
+  /** Part of the permitted silence over which the fleet spreads its first calls. */
+  private static final double SPREAD = 0.8;
+
+  /** First back-off after a failure, as a part of the permitted silence. */
+  private static final double BACK_OFF = 0.1;
+
+  private final Settings settings;
+  private final Actions actions;
+  private final Random random;
+  private boolean calling;
+  private boolean waiting;
+  private int failures;
+
+  Membership(Settings settings, Actions actions, Random random) {
+    this.settings = settings;
+    this.actions = actions;
+    this.random = random;
+  }
+
+  void start() {
+    if (settings.discovery() == Discovery.ON_REQUEST) {
+      double slot = (settings.me() + random.nextDouble()) / settings.instances();
+      callIn(slot * SPREAD * settings.rules().mustAskInMs());
+    }
+  }
+
+  void onTimer() {
+    if (waiting) {
+      waiting = false;
+      calling = true;
+      actions.watch(true);
+    }
+  }
+
+  void onUpdate(MembersUpdate update) {
+    if (settings.discovery() != Discovery.ON_REQUEST
+        || update.kind() == MembersUpdate.Kind.CACHED) {
+      return;
+    }
+    if (update.kind() != MembersUpdate.Kind.FAILED) {
+      calling = false;
+      failures = 0;
+      return;
+    }
+    // A failure names no call: whether ours failed or the subscription broke, ask again later.
+    calling = false;
+    failures = Math.min(failures + 1, 4);
+    double base = BACK_OFF * settings.rules().mustAskInMs() * (1 << (failures - 1));
+    callIn(base * (0.5 + random.nextDouble()));
+  }
+
+  private void callIn(double delayMs) {
+    if (!waiting && !calling) {
+      waiting = true;
+      actions.setTimer(TIMER, delayMs);
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/ternscale/policy/Pending.java
@@ -0,0 +1,94 @@
+package ternscale.policy;
+
+import java.util.ArrayList;
+import java.util.List;
+import ternscale.api.RequestInfo;
+import ternscale.api.Settings.Effect;
+import ternscale.api.Settings.Group;
+import ternscale.api.Settings.RequestClass;
+
+/** A request this gateway still owes an answer, or whose attempts are still out. */
+final class Pending {
+  /** One attempt that is still out. */
+  record Attempt(int number, Host host, double sentAt, boolean isLong) {}
+
+  final RequestInfo info;
+  final RequestClass type;
+  final double arrivedAt;
+  final boolean isLong;
+  final List<Attempt> out = new ArrayList<>(2);
+  final List<Host> failedOn = new ArrayList<>(2);
+  int attempts;
+  boolean ended;
+  boolean held;
+
+  /** Rule 2: the earliest attempt that may have run, or none; it binds every later send. */
+  private Host ranOn;
+
+  private double ranSentAt;
+
+  Pending(RequestInfo info, RequestClass type, double arrivedAt, boolean isLong) {
+    this.info = info;
+    this.type = type;
+    this.arrivedAt = arrivedAt;
+    this.isLong = isLong;
+  }
+
+  /** Expected work; a request without a hint counts as one unit. */
+  double work() {
+    return info.costHint() > 0 ? info.costHint() : 1;
+  }
+
+  double worth() {
+    return type.worth() * work();
+  }
+
+  /** The time an answer may take to be worth its full worth. */
+  double aimMs() {
+    return type.aimMs() + type.aimStretch() * info.costHint();
+  }
+
+  double aimAt() {
+    return Math.min(arrivedAt + aimMs(), info.deadline());
+  }
+
+  /** Notes an attempt that ended without proof that it never ran. */
+  void mayHaveRun(Attempt a) {
+    if (ranOn == null || a.sentAt < ranSentAt) {
+      ranOn = a.host;
+      ranSentAt = a.sentAt;
+    }
+  }
+
+  boolean anyMayHaveRun() {
+    return ranOn != null || !out.isEmpty();
+  }
+
+  /** Rule 2, no effect twice: whether one more attempt may go to this host now. */
+  boolean effectAllows(Host h, double now, double marginMs) {
+    if (type.effect() == Effect.REPEATABLE || !anyMayHaveRun()) {
+      return true;
+    }
+    if (type.effect() == Effect.ONCE) {
+      return false;
+    }
+    return (ranOn == null || sameGroup(ranOn, ranSentAt, h, now, marginMs))
+        && out.stream().allMatch(a -> sameGroup(a.host, a.sentAt, h, now, marginMs));
+  }
+
+  private boolean sameGroup(Host first, double sentAt, Host h, double now, double marginMs) {
+    if (now - sentAt > type.windowMs() - marginMs) {
+      return false;
+    }
+    return type.group() == Group.ALL
+        || (type.group() == Group.ZONE && first.zone == h.zone)
+        || (type.group() == Group.CELL && first.cell == h.cell);
+  }
+
+  /** Rule 2: a refusal promises that a new try is harmless. */
+  boolean mayRefuse() {
+    return type.effect() == Effect.REPEATABLE
+        || !anyMayHaveRun()
+        || (type.effect() == Effect.BY_KEY && type.group() == Group.ALL);
+  }
+}
