--- a/src/main/java/hazelspoke/gateway/Body.java
+++ b/src/main/java/hazelspoke/gateway/Body.java
@@ -12,6 +12,9 @@
  * keep a whole one.
  */
 final class Body {
+  /** The protocol allows no more, in either direction. */
+  static final int MOST_BYTES = 65_536;
+
   private static final int FIRST_BYTES = 512;
   private static final int CHUNK_BYTES = 65_536;
 
--- a/src/main/java/hazelspoke/gateway/ClientConnection.java
+++ b/src/main/java/hazelspoke/gateway/ClientConnection.java
@@ -1,18 +1,17 @@
 package hazelspoke.gateway;
 
-import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
-import io.netty.handler.codec.http.DefaultHttpContent;
 import io.netty.handler.codec.http.DefaultHttpResponse;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
@@ -29,9 +28,7 @@
 
 /** One connection of a client's: reads its requests one after the other, and writes the answers. */
 final class ClientConnection extends ChannelInboundHandlerAdapter {
-  private static final long MOST_BODY_BYTES = 32L << 20;
-
-  /** What a client may send ahead while its request is in hand; then reading stops. */
+  /** What a client may send ahead while its answer is being written; then reading stops. */
   private static final int MOST_AHEAD_BYTES = 16_384;
 
   private static final int HEAD_BYTES_ASSUMED = 1_024;
@@ -39,8 +36,15 @@
   /** How long a connection is read on after its last answer, so that no reset destroys that. */
   private static final long LINGER_MS = 1_000;
 
-  /** What the connection is at. */
+  /** And how much of what still comes: a client that sends on and on is not worth the reading. */
+  private static final int MOST_LINGER_BYTES = 262_144;
+
+  /** What the connection is at, in the order in which others may take its place. */
   enum State {
+    /** The last answer is out; what still comes is not read as a request. */
+    CLOSING,
+    /** Accepted, and no request has begun to come. */
+    FRESH,
     /** Between requests. */
     IDLE,
     /** A request has begun to come. */
@@ -48,55 +52,59 @@
     /** A whole request has not been answered. */
     IN_HAND,
     /** An answer is being written. */
-    ANSWERING,
-    /** The last answer is out; what still comes is not read as a request. */
-    CLOSING
+    ANSWERING
   }
 
   private final ClientServer server;
   private final Channel channel;
   private final Deque<HttpObject> ahead = new ArrayDeque<>();
   private int aheadBytes;
-  private State state = State.IDLE;
+  private State state = State.FRESH;
   private HttpVersion version = HttpVersion.HTTP_1_1;
   private boolean keepAlive;
   private boolean health;
   private Exchange exchange;
   private BodyWriter writer;
   private ByteBudget.Share answerShare;
-  private HostConnection source;
-  private double progressAt;
+  private int lingerBytes;
+  private double enteredAt;
 
   ClientConnection(ClientServer server, Channel channel) {
     this.server = server;
     this.channel = channel;
-    progressAt = server.nowMs();
+    enteredAt = server.nowMs();
   }
 
   State state() {
     return state;
   }
 
-  /** When the connection last got on with what it is at. */
-  double progressAt() {
-    return progressAt;
+  /** Since when the connection is at what it is at; trickling bytes do not renew it. */
+  double enteredAt() {
+    return enteredAt;
   }
 
   void close() {
+    // At once, as the channel tells of its end on a later turn.
+    server.closed(this);
     channel.close();
   }
 
   private void enter(State next) {
+    State before = state;
     state = next;
-    progressAt = server.nowMs();
-    server.changed(this);
+    enteredAt = server.nowMs();
+    server.changed(this, before);
   }
 
   @Override
   public void channelRead(ChannelHandlerContext ctx, Object message) {
-    if (state == State.CLOSING) {
+    if (state == State.CLOSING || (state == State.ANSWERING && !keepAlive)) {
+      discard(message);
+    } else if (state == State.IN_HAND) {
       ReferenceCountUtil.release(message);
-    } else if (state == State.IN_HAND || state == State.ANSWERING) {
+      sentAhead();
+    } else if (state == State.ANSWERING) {
       ahead.add((HttpObject) message);
       aheadBytes += size(message);
       if (aheadBytes > MOST_AHEAD_BYTES) {
@@ -107,6 +115,27 @@
     }
   }
 
+  private void discard(Object message) {
+    lingerBytes += size(message);
+    ReferenceCountUtil.release(message);
+    if (lingerBytes > MOST_LINGER_BYTES) {
+      channel.config().setAutoRead(false);
+    }
+  }
+
+  /**
+   * Clients send one request at a time. What comes before the answer is noise behind a body, a
+   * request hidden in it, or hundreds at once; none of it, nor what it came with, is served.
+   */
+  private void sentAhead() {
+    keepAlive = false;
+    if (exchange != null) {
+      server.clientGone(exchange);
+      exchange = null;
+    }
+    answer(HttpResponseStatus.BAD_REQUEST, "one request at a time", 0);
+  }
+
   private static int size(Object message) {
     return message instanceof HttpContent content
         ? content.content().readableBytes()
@@ -115,7 +144,6 @@
 
   private void take(HttpObject message) {
     try {
-      progressAt = server.nowMs();
       if (message.decoderResult().isFailure()) {
         throw new BadRequestException(HttpResponseStatus.BAD_REQUEST, "this is no HTTP/1.1");
       }
@@ -126,26 +154,40 @@
         body(content);
       }
     } catch (BadRequestException e) {
-      keepAlive = false;
-      dropExchange();
-      answer(e.status(), e.getMessage(), 0);
+      turnAway(e.status(), e.getMessage());
     } finally {
       ReferenceCountUtil.release(message);
     }
   }
 
+  /** Answers what was not taken on, and closes: nothing behind it can be trusted. */
+  void turnAway(HttpResponseStatus status, String why) {
+    keepAlive = false;
+    dropExchange();
+    answer(status, why, 0);
+  }
+
+  /** The request did not become whole in time, or none came. */
+  void expire() {
+    if (state == State.READING) {
+      turnAway(HttpResponseStatus.REQUEST_TIMEOUT, "the request did not become whole");
+    } else if (state == State.IDLE) {
+      closeGracefully();
+    } else {
+      close();
+    }
+  }
+
   private void head(HttpRequest request) throws BadRequestException {
     version = request.protocolVersion();
     keepAlive = HttpUtil.isKeepAlive(request);
-    health = request.uri().equals("/healthz");
+    health = request.method().equals(HttpMethod.GET) && request.uri().equals("/healthz");
     enter(State.READING);
     if (health) {
+      RequestHead.checkLength(request, 0);
       return;
     }
     exchange = server.exchange(request, this);
-    if (HttpUtil.getContentLength(request, 0L) > MOST_BODY_BYTES) {
-      throw tooLarge();
-    }
     if (HttpUtil.is100ContinueExpected(request)) {
       channel.writeAndFlush(
           new DefaultFullHttpResponse(
@@ -156,8 +198,9 @@
   private void body(HttpContent content) throws BadRequestException {
     int more = content.content().readableBytes();
     if (!health && more > 0) {
-      if (exchange.body.length() + more > MOST_BODY_BYTES) {
-        throw tooLarge();
+      if (exchange.body.length() + more > Body.MOST_BYTES) {
+        throw new BadRequestException(
+            HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE, "the body is too large");
       }
       exchange.body.append(content.content());
       if (!exchange.share.add(more)) {
@@ -166,26 +209,23 @@
     }
     if (content instanceof LastHttpContent) {
       channel.config().setAutoRead(true);
-      enter(State.IN_HAND);
       if (health) {
         boolean ready = server.isReady();
         answer(
             ready ? HttpResponseStatus.OK : HttpResponseStatus.SERVICE_UNAVAILABLE,
             ready ? "ready" : "closing",
             0);
+      } else if (server.isOpen(exchange)) {
+        throw new BadRequestException(
+            HttpResponseStatus.CONFLICT, Headers.TXN + " belongs to an open request");
       } else {
+        enter(State.IN_HAND);
         server.taken(exchange);
       }
     }
   }
 
-  private static BadRequestException tooLarge() {
-    return new BadRequestException(
-        HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE, "the body is too large");
-  }
-
   void resumeReading() {
-    progressAt = server.nowMs();
     channel.config().setAutoRead(true);
   }
 
@@ -234,62 +274,10 @@
     return head;
   }
 
-  /** Begins a long answer; {@code length} below 0 when it is not known. */
-  AnswerSink startAnswer(HttpHeaders headers, long length, HostConnection from) {
-    source = from;
-    boolean chunked = length < 0 && version.equals(HttpVersion.HTTP_1_1);
-    keepAlive &= length >= 0 || chunked;
-    HttpResponse head = responseHead(HttpResponseStatus.OK, headers);
-    if (chunked) {
-      HttpUtil.setTransferEncodingChunked(head, true);
-    } else if (length >= 0) {
-      head.headers().set(HttpHeaderNames.CONTENT_LENGTH, length);
-    }
-    enter(State.ANSWERING);
-    channel.write(head);
-    return new LongAnswer();
-  }
-
-  private final class LongAnswer implements AnswerSink {
-    @Override
-    public void pass(ByteBuf bytes) {
-      if (!bytes.isReadable()) {
-        bytes.release();
-        return;
-      }
-      channel.writeAndFlush(new DefaultHttpContent(bytes));
-      if (!channel.isWritable() && source != null) {
-        source.setReading(false);
-      }
-    }
-
-    @Override
-    public void finish() {
-      source = null;
-      exchange = null;
-      channel
-          .writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT)
-          .addListener(ClientConnection.this::answerWritten);
-    }
-
-    /** Neither a last chunk nor the full length: the client sees that the answer is not whole. */
-    @Override
-    public void cutOff() {
-      source = null;
-      exchange = null;
-      close();
-    }
-  }
-
   @Override
   public void channelWritabilityChanged(ChannelHandlerContext ctx) {
-    progressAt = server.nowMs();
-    if (channel.isWritable()) {
-      if (writer != null) {
-        writer.resume();
-      } else if (source != null) {
-        source.setReading(true);
-      }
+    if (writer != null && channel.isWritable()) {
+      writer.resume();
     }
   }
 
@@ -316,7 +304,9 @@
       aheadBytes -= size(message);
       take(message);
     }
-    if (state == State.IDLE && server.isDraining()) {
+    if (state == State.IN_HAND && !ahead.isEmpty()) {
+      sentAhead();
+    } else if (state == State.IDLE && server.isDraining()) {
       closeGracefully();
     } else if (aheadBytes <= MOST_AHEAD_BYTES) {
       channel.config().setAutoRead(true);
@@ -328,6 +318,7 @@
    * can destroy the answer on its way to the client.
    */
   void closeGracefully() {
+    keepAlive = false;
     enter(State.CLOSING);
     dropAhead();
     channel.config().setAutoRead(true);
@@ -345,11 +336,8 @@
     server.closed(this);
     releaseAnswer();
     dropAhead();
-    if (state == State.IN_HAND || source != null) {
-      source = null;
-      if (exchange != null) {
-        server.clientGone(exchange);
-      }
+    if (state == State.IN_HAND && exchange != null) {
+      server.clientGone(exchange);
       exchange = null;
     }
     dropExchange();
--- a/src/main/java/hazelspoke/gateway/ClientServer.java
+++ b/src/main/java/hazelspoke/gateway/ClientServer.java
@@ -1,5 +1,6 @@
 package hazelspoke.gateway;
 
+import hazelspoke.gateway.ClientConnection.State;
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
@@ -9,27 +10,40 @@
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.handler.codec.http.HttpRequest;
-import io.netty.handler.codec.http.HttpRequestDecoder;
 import io.netty.handler.codec.http.HttpResponseEncoder;
 import java.net.InetSocketAddress;
-import java.util.ArrayList;
+import java.util.EnumMap;
 import java.util.LinkedHashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.Stream;
 import ternscale.api.Settings;
 
 /** Takes clients' connections in and keeps their number within the sockets there are. */
 final class ClientServer {
   private static final int BACKLOG = 4_096;
 
-  private static final long SWEEP_MS = 1_000;
+  private static final long SWEEP_MS = 200;
 
-  /** A request of which nothing more comes for this long will not be completed. */
-  private static final double READING_STALL_MS = 10_000;
+  /** A connection on which no request is open may be closed after this long. */
+  private static final double IDLE_MS = 2_000;
 
-  /** A client that takes nothing of its answer for this long does not want it. */
-  private static final double WRITING_STALL_MS = 30_000;
+  /** While there is plenty of room one that was of use may rest longer: its client may return. */
+  private static final double IDLE_WITH_ROOM_MS = 10_000;
+
+  /** Clients send what they have to send at once; a request not whole by now will not be. */
+  private static final double READING_MS = 2_000;
+
+  /** A client that has not taken its answer for this long does not want it. */
+  private static final double WRITING_MS = 3_000;
+
+  /** A new connection is given this long to say something before another may take its place. */
+  private static final double FRESH_MS = 10;
+
+  /** One turn accepts up to this many before the limit is looked at. */
+  private static final int ACCEPTED_AT_ONCE = 16;
 
   private final EventLoop loop;
   private final Clock clock;
@@ -39,11 +53,11 @@
   private final ByteBudget bodyBudget;
   private final int mostConnections;
 
-  /** All connections, and those that may be closed for others: the longest so first. */
-  private final Set<ClientConnection> open = new LinkedHashSet<>();
+  /** All connections by what they are at, the longest so first. */
+  private final Map<State, Set<ClientConnection>> byState = new EnumMap<>(State.class);
 
-  private final Set<ClientConnection> idle = new LinkedHashSet<>();
-  private final Set<ClientConnection> reading = new LinkedHashSet<>();
+  private int open;
+  private boolean makingRoom;
   private Channel listener;
   private boolean ready;
   private boolean draining;
@@ -59,7 +73,10 @@
     this.clock = clock;
     this.dispatcher = dispatcher;
     this.bodyBudget = bodyBudget;
-    this.mostConnections = mostConnections;
+    this.mostConnections = Math.max(1, mostConnections - ACCEPTED_AT_ONCE);
+    for (State state : State.values()) {
+      byState.put(state, new LinkedHashSet<>());
+    }
     names = config.names();
     settings = config.settings();
     loop.scheduleAtFixedRate(this::sweep, SWEEP_MS, SWEEP_MS, TimeUnit.MILLISECONDS);
@@ -93,63 +110,85 @@
     ClientConnection connection = new ClientConnection(this, ch);
     ch.pipeline()
         .addLast(
-            new HttpRequestDecoder(Buffers.decoderConfig()), new HttpResponseEncoder(), connection);
-    open.add(connection);
-    idle.add(connection);
-    makeRoom();
+            new StrictRequestDecoder(Buffers.decoderConfig()),
+            new HttpResponseEncoder(),
+            connection);
+    byState.get(connection.state()).add(connection);
+    open++;
+    if (open >= mostConnections && !makingRoom) {
+      listener.config().setAutoRead(false);
+      makeRoomAfter(0);
+    }
+  }
+
+  private void makeRoomAfter(long delayMs) {
+    makingRoom = true;
+    loop.schedule(this::makeRoom, delayMs, TimeUnit.MILLISECONDS);
   }
 
-  /** At the limit, closes what may be closed, or leaves new connections waiting in the kernel. */
+  /**
+   * At the limit the least useful connection makes room: one that was told good-bye, one that never
+   * said anything, one that rests, one that does not get on. This meets floods of any such kind. A
+   * turn of its own lets all that has come in be read first, so that no new client with a request
+   * is taken for a silent one. With nothing to spare, new connections wait in the kernel.
+   */
   private void makeRoom() {
-    if (draining) {
-      return;
+    makingRoom = false;
+    double now = clock.nowMs();
+    while (open >= mostConnections) {
+      ClientConnection victim = victim(now);
+      if (victim == null) {
+        makeRoomAfter((long) FRESH_MS);
+        return;
+      }
+      victim.close();
     }
-    boolean room = open.size() < mostConnections;
-    if (!room) {
-      ClientConnection victim = first(idle.isEmpty() ? reading : idle);
-      if (victim != null) {
-        victim.close();
-        room = true;
+    listener.config().setAutoRead(true);
+  }
+
+  private ClientConnection victim(double now) {
+    for (State state : List.of(State.CLOSING, State.FRESH, State.IDLE, State.READING)) {
+      Set<ClientConnection> candidates = byState.get(state);
+      if (!candidates.isEmpty()) {
+        ClientConnection longest = candidates.iterator().next();
+        if (state == State.CLOSING || now - longest.enteredAt() >= FRESH_MS) {
+          return longest;
+        }
+        // The new ones will speak or make room in a moment: no resting one need leave for them.
+        return null;
       }
     }
-    listener.config().setAutoRead(room);
-  }
-
-  private static ClientConnection first(Set<ClientConnection> connections) {
-    return connections.isEmpty() ? null : connections.iterator().next();
+    return null;
   }
 
-  void changed(ClientConnection connection) {
-    idle.remove(connection);
-    reading.remove(connection);
-    switch (connection.state()) {
-      case IDLE, CLOSING -> idle.add(connection);
-      case READING -> reading.add(connection);
-      default -> {}
-    }
-    if (!listener.config().isAutoRead()) {
-      makeRoom();
+  void changed(ClientConnection connection, State before) {
+    if (byState.get(before).remove(connection)) {
+      byState.get(connection.state()).add(connection);
     }
   }
 
   void closed(ClientConnection connection) {
-    open.remove(connection);
-    idle.remove(connection);
-    reading.remove(connection);
-    makeRoom();
+    if (byState.get(connection.state()).remove(connection)) {
+      open--;
+    }
   }
 
   private void sweep() {
-    double now = clock.nowMs();
-    List<ClientConnection> stalled = new ArrayList<>();
-    for (ClientConnection c : open) {
-      double stalledMs = now - c.progressAt();
-      if ((c.state() == ClientConnection.State.READING && stalledMs > READING_STALL_MS)
-          || (c.state() == ClientConnection.State.ANSWERING && stalledMs > WRITING_STALL_MS)) {
-        stalled.add(c);
+    double restMs = open > mostConnections / 2 ? IDLE_MS : IDLE_WITH_ROOM_MS;
+    expire(State.FRESH, IDLE_MS);
+    expire(State.IDLE, restMs);
+    expire(State.READING, READING_MS);
+    expire(State.ANSWERING, WRITING_MS);
+  }
+
+  private void expire(State state, double afterMs) {
+    double before = clock.nowMs() - afterMs;
+    for (ClientConnection c : List.copyOf(byState.get(state))) {
+      if (c.enteredAt() > before) {
+        return;
       }
+      c.expire();
     }
-    stalled.forEach(ClientConnection::close);
   }
 
   double nowMs() {
@@ -165,7 +204,13 @@
   }
 
   Exchange exchange(HttpRequest request, ClientConnection client) throws BadRequestException {
-    return new Exchange(request, client, bodyBudget.share(client::resumeReading), names, settings);
+    RequestHead head = RequestHead.read(request, names, settings);
+    return new Exchange(head, client, bodyBudget.share(client::resumeReading));
+  }
+
+  /** Whether another request with the same id is open; that one goes on. */
+  boolean isOpen(Exchange exchange) {
+    return dispatcher.isOpen(exchange.txn());
   }
 
   void taken(Exchange exchange) {
@@ -176,23 +221,22 @@
     dispatcher.onClientGone(exchange);
   }
 
-  /** From now on connections are closed as they fall idle, and the gateway calls itself unready. */
+  /** From now on every answer is the last on its connection, and the gateway is unready. */
   void drain() {
     ready = false;
     draining = true;
-    List.copyOf(idle).forEach(ClientConnection::closeGracefully);
   }
 
+  /** Nothing new comes any more; what rests may go. */
   void stopListening() {
     listener.close();
+    List.copyOf(byState.get(State.FRESH)).forEach(ClientConnection::closeGracefully);
+    List.copyOf(byState.get(State.IDLE)).forEach(ClientConnection::closeGracefully);
   }
 
-  /** Whether a request is in hand or an answer not yet written. */
+  /** Whether a request is coming or in hand, or an answer not yet written. */
   boolean isBusy() {
-    return open.stream()
-        .anyMatch(
-            c ->
-                c.state() == ClientConnection.State.IN_HAND
-                    || c.state() == ClientConnection.State.ANSWERING);
+    return Stream.of(State.READING, State.IN_HAND, State.ANSWERING)
+        .anyMatch(state -> !byState.get(state).isEmpty());
   }
 }
--- a/src/main/java/hazelspoke/gateway/DiscoveryClient.java
+++ b/src/main/java/hazelspoke/gateway/DiscoveryClient.java
@@ -25,7 +25,9 @@
 import io.netty.util.concurrent.ScheduledFuture;
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.util.HashSet;
 import java.util.List;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import ternscale.adapter.WireException;
@@ -46,7 +48,7 @@
   private static final long PUSHED_AGAIN_MS = 500;
 
   private final Bootstrap bootstrap;
-  private final InetSocketAddress address;
+  private InetSocketAddress address;
   private final boolean pushed;
   private final Names names;
   private final Clock clock;
@@ -54,6 +56,7 @@
   private final Consumer<HostList.Update> onUpdate;
   private final Runnable onFailed;
   private long version;
+  private final Set<Call> calls = new HashSet<>();
   private Call watch;
 
   DiscoveryClient(
@@ -87,18 +90,38 @@
     }
   }
 
+  /** Begins to watch, unless that is being done already, or ends it. */
   void watch(boolean on) {
-    if (watch != null) {
+    if (on) {
+      if (watch == null) {
+        watch = new Call(true);
+      }
+    } else if (watch != null) {
       watch.close();
       watch = null;
     }
-    if (on) {
-      watch = new Call(true);
-    }
   }
 
   void lookup() {
-    new Call(false);
+    calls.add(new Call(false));
+  }
+
+  /**
+   * Turns to discovery at another address, at once and with a watch from its beginning: versions of
+   * one service say nothing of another's. What the old one still says is not heard.
+   */
+  void moveTo(InetSocketAddress next) {
+    if (next.equals(address)) {
+      return;
+    }
+    log.line("discovery is now at " + next);
+    address = next;
+    version = 0;
+    List<Call> askedOfOld = List.copyOf(calls);
+    askedOfOld.forEach(Call::close);
+    watch(false);
+    watch(true);
+    askedOfOld.forEach(call -> lookup());
   }
 
   void close() {
@@ -235,6 +258,7 @@
 
     private void close() {
       over = true;
+      calls.remove(this);
       check.cancel(false);
       channel.close();
     }
--- a/src/main/java/hazelspoke/gateway/Dispatcher.java
+++ b/src/main/java/hazelspoke/gateway/Dispatcher.java
@@ -7,12 +7,16 @@
 import io.netty.util.concurrent.ScheduledFuture;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.Collectors;
 import ternscale.api.Actions;
 import ternscale.api.Balancer;
 import ternscale.api.HostEntry;
+import ternscale.api.HostEntry.Availability;
 import ternscale.api.MembersUpdate;
 import ternscale.api.Outcome;
 import ternscale.api.Outcome.Result;
@@ -39,6 +43,10 @@
   private final int openCap;
   private final HostClient hosts;
   private final Map<String, Exchange> exchanges = new HashMap<>();
+
+  /** The clients' own ids of the requests that are owed an answer. */
+  private final Set<String> open = new HashSet<>();
+
   private DiscoveryClient discovery;
   private Balancer balancer;
   private boolean deciding;
@@ -95,12 +103,24 @@
 
   void onMembers(MembersUpdate.Kind kind, HostList.Update update) {
     List<HostEntry> entries = new ArrayList<>();
+    List<HostEntry> gone = new ArrayList<>();
     for (HostList.Listed host : update.hosts()) {
-      entries.add(host.entry());
-      if (host.address() != null) {
-        hosts.setAddress(host.entry().host(), host.address());
+      HostEntry entry = host.entry();
+      entries.add(entry);
+      if (entry.availability() == Availability.GONE) {
+        hosts.forget(entry.host());
+      } else if (host.address() != null) {
+        HostEntry displaced = hosts.setAddress(entry, host.address());
+        if (displaced != null) {
+          gone.add(displaced);
+        }
       }
     }
+    // Its address has another host now, whatever the list says of it yet.
+    gone.forEach(entry -> entries.add(entry.as(Availability.GONE)));
+    if (kind == MembersUpdate.Kind.FULL) {
+      hosts.keepOnly(entries.stream().map(HostEntry::host).collect(Collectors.toSet()));
+    }
     MembersUpdate news = new MembersUpdate(kind, update.version(), entries);
     decide(null, () -> balancer.onMembers(clock.nowMs(), news));
   }
@@ -109,6 +129,11 @@
     onMembers(MembersUpdate.Kind.FAILED, new HostList.Update(false, 0, List.of()));
   }
 
+  /** Whether a request with this id of a client's is still owed its answer. */
+  boolean isOpen(String txn) {
+    return open.contains(txn);
+  }
+
   /** A client's request is whole. */
   void onRequest(Exchange x) {
     double now = clock.nowMs();
@@ -119,6 +144,7 @@
       return;
     }
     exchanges.put(x.id, x);
+    open.add(x.txn());
     schedule(info.deadline() + OVERDUE_MS - now, () -> overdue(x));
     decide(x, () -> balancer.onRequest(clock.nowMs(), info));
   }
@@ -133,10 +159,6 @@
   /** The client left before it had its whole answer. */
   void onClientGone(Exchange x) {
     if (x.ended) {
-      // Its long answer was under way: the host need not go on.
-      for (Attempt attempt : x.attempts) {
-        attempt.stop();
-      }
       return;
     }
     end(x);
@@ -146,6 +168,7 @@
   private void end(Exchange x) {
     x.ended = true;
     owed--;
+    open.remove(x.txn());
     x.share.release();
     if (x.out == 0) {
       exchanges.remove(x.id);
@@ -255,7 +278,6 @@
     private final double startedAt;
     private HostClient.Ticket ticket;
     private ScheduledFuture<?> timeOut;
-    private double firstBytesMs = -1;
     private boolean over;
 
     Attempt(Exchange x, String host, double now) {
@@ -271,7 +293,7 @@
     }
 
     private void timeOut() {
-      if (!over && firstBytesMs < 0) {
+      if (!over) {
         // Given up before its last byte was written, it never ran.
         Result result = ticket.isSent() ? Result.TIMEOUT : Result.CONNECT_FAILED;
         ticket.giveUp();
@@ -303,18 +325,6 @@
       return x.body;
     }
 
-    @Override
-    public AnswerSink answerStarted(HttpHeaders headers, long length, HostConnection source) {
-      firstBytesMs = clock.nowMs() - startedAt;
-      AnswerSink sink = AnswerSink.NOWHERE;
-      if (!x.ended) {
-        end(x);
-        sink = x.client.startAnswer(headers, length, source);
-      }
-      decide(x, () -> balancer.onAnswerStarted(clock.nowMs(), x.id, number, host));
-      return sink;
-    }
-
     @Override
     public void answered(HttpHeaders headers, Body answer, ByteBudget.Share share) {
       if (x.ended) {
@@ -343,9 +353,7 @@
       if (x.ended && x.out == 0) {
         exchanges.remove(x.id);
       }
-      double now = clock.nowMs();
-      // A long answer's time is that of its first bytes: its size is no slowness of its host.
-      double elapsedMs = firstBytesMs >= 0 ? firstBytesMs : now - startedAt;
+      double elapsedMs = clock.nowMs() - startedAt;
       List<Double> report =
           headers != null && settings.reportMode() == Settings.ReportMode.WITH_ANSWERS
               ? names.report(headers.get(Headers.LOAD_REPORT, ""))
@@ -390,11 +398,6 @@
       return new Body();
     }
 
-    @Override
-    public AnswerSink answerStarted(HttpHeaders headers, long length, HostConnection source) {
-      return AnswerSink.NOWHERE;
-    }
-
     @Override
     public void answered(HttpHeaders headers, Body answer, ByteBudget.Share share) {
       String text = answer.text();
--- a/src/main/java/hazelspoke/gateway/Gateway.java
+++ b/src/main/java/hazelspoke/gateway/Gateway.java
@@ -10,26 +10,27 @@
 import java.util.Map;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import sun.misc.Signal;
 import ternscale.api.Balancer;
 import ternscale.api.MembersUpdate;
 import ternscale.policy.LcStarBalancer;
 
 /** One gateway: its parts, all on one event loop, from the start to the drain after SIGTERM. */
 public final class Gateway {
-  /** Sockets for hosts, as a part of all; clients get what is left. */
-  private static final int HOST_PART = 4;
+  /** Sockets for hosts, as a part of what is not for others; clients get the rest. */
+  private static final double HOST_PART = 0.4;
 
   /** Descriptors for what is neither: the JVM's files, discovery, the listener, and some slack. */
-  private static final int OTHER_DESCRIPTORS = 96;
+  private static final int OTHER_DESCRIPTORS = 56;
 
-  /** Bodies of requests held at once, besides the one that may always be completed (32 MiB). */
-  private static final long BODY_BYTES = 12L << 20;
+  /** Bodies of requests held at once, besides the one that may always be completed. */
+  private static final long BODY_BYTES = 6L << 20;
 
   /** Answers held at once until they are whole or written. */
-  private static final long ANSWER_BYTES = 12L << 20;
+  private static final long ANSWER_BYTES = 6L << 20;
 
   /** New connections come for up to 400 ms after SIGTERM. */
-  private static final long ACCEPT_ON_MS = 600;
+  private static final long ACCEPT_ON_MS = 500;
 
   /**
    * SIGKILL may come this long after the longest deadline at the earliest: 700 ms, less a margin.
@@ -47,6 +48,7 @@
   private final CountDownLatch drained = new CountDownLatch(1);
   private DiscoveryClient discovery;
   private ClientServer clients;
+  private boolean leaving;
 
   Gateway(GatewayConfig config, PrintStream err) {
     this.config = config;
@@ -63,6 +65,7 @@
       return 1;
     }
     Gateway gateway = new Gateway(config, err);
+    Signal.handle(new Signal("HUP"), signal -> gateway.reload(environment));
     try {
       gateway.start();
     } catch (IllegalStateException e) {
@@ -85,8 +88,9 @@
   }
 
   private ChannelFuture wire() {
-    int hostSockets = config.sockets() / HOST_PART;
-    int clientSockets = Math.max(1, config.sockets() - hostSockets - OTHER_DESCRIPTORS);
+    int shared = Math.max(4, config.sockets() - OTHER_DESCRIPTORS);
+    int hostSockets = (int) (HOST_PART * shared);
+    int clientSockets = shared - hostSockets;
     HostClient hosts =
         new HostClient(
             loop, clock, config.settings().limits(), hostSockets, new ByteBudget(ANSWER_BYTES));
@@ -112,6 +116,25 @@
     return clients.listen(config.listen());
   }
 
+  /**
+   * Takes over where discovery is now from the configuration as it stands; nothing else of it is
+   * read again. A file that cannot be used changes nothing. On the loop, so that signals that come
+   * close to one another are handled in turn; the file is small and lies in memory.
+   */
+  void reload(Map<String, String> environment) {
+    loop.execute(
+        () -> {
+          try {
+            InetSocketAddress now = GatewayConfig.read(environment).discovery();
+            if (discovery != null && !leaving) {
+              discovery.moveTo(now);
+            }
+          } catch (ConfigException e) {
+            log.line("kept the old configuration: " + e.getMessage());
+          }
+        });
+  }
+
   /**
    * Takes leave: what has been taken and what still comes for a moment is served, and nothing new
    * after that. Returns when nothing is owed any more, or when it has to be over.
@@ -135,6 +158,7 @@
   }
 
   private void stopListening() {
+    leaving = true;
     clients.stopListening();
     discovery.close();
     loop.scheduleAtFixedRate(
--- a/src/main/java/hazelspoke/gateway/GatewayConfig.java
+++ b/src/main/java/hazelspoke/gateway/GatewayConfig.java
@@ -62,7 +62,9 @@
       }
       return new GatewayConfig(
           address(config, "listen", environment.get("NODE_LISTEN")),
-          address(config, "discovery", environment.get("NODE_DISCOVERY")),
+          // The file first: a new configuration replaces it, and leaves the variables behind.
+          address(
+              config, "discovery", config.get("discovery").text(environment.get("NODE_DISCOVERY"))),
           seed(config.get("seed")),
           config.get("limits").get("sockets").integer(USUAL_SOCKETS),
           settings.get("limits").get("open_cap").integer(Integer.MAX_VALUE),
--- a/src/main/java/hazelspoke/gateway/Headers.java
+++ b/src/main/java/hazelspoke/gateway/Headers.java
@@ -13,6 +13,8 @@
 
 /** The headers of this deployment's protocol, and those that end at a gateway. */
 final class Headers {
+  static final String TXN = "X-Txn";
+  static final String IDEMPOTENCY_KEY = "Idempotency-Key";
   static final String CLASS = "X-Lane";
   static final String TENANT = "X-Org";
   static final String KEY = "X-Entity";
--- a/src/main/java/hazelspoke/gateway/HostCall.java
+++ b/src/main/java/hazelspoke/gateway/HostCall.java
@@ -11,15 +11,9 @@
 
   Body body();
 
-  /** The answer is long and begins now; what comes of it goes to the sink that is returned. */
-  AnswerSink answerStarted(HttpHeaders headers, long length, HostConnection source);
-
   /** The call ended with a whole answer, whose bytes the receiver now has to account for. */
   void answered(HttpHeaders headers, Body answer, ByteBudget.Share share);
 
-  /**
-   * The call ended otherwise, or with a long answer that was passed on. {@code headers} are those
-   * of the answer, empty when none came.
-   */
+  /** The call ended otherwise. {@code headers} are those of the answer, empty when none came. */
   void ended(Result result, HttpHeaders headers);
 }
--- a/src/main/java/hazelspoke/gateway/HostClient.java
+++ b/src/main/java/hazelspoke/gateway/HostClient.java
@@ -1,6 +1,7 @@
 package hazelspoke.gateway;
 
 import io.netty.bootstrap.Bootstrap;
+import io.netty.channel.ChannelException;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
@@ -8,13 +9,17 @@
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.EmptyHttpHeaders;
-import io.netty.handler.codec.http.HttpClientCodec;
+import io.netty.handler.codec.http.HttpRequestEncoder;
+import java.net.BindException;
 import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import ternscale.api.HostEntry;
 import ternscale.api.Outcome.Result;
 
 /** The connections to hosts: one pool a host, most recently used first, and a bound for all. */
@@ -57,23 +62,59 @@
     loop.scheduleAtFixedRate(this::sweep, SWEEP_MS, SWEEP_MS, TimeUnit.MILLISECONDS);
   }
 
-  double nowMs() {
-    return clock.nowMs();
-  }
-
   ByteBudget answerBudget() {
     return answerBudget;
   }
 
-  /** Where a host is reached; its address may change while its name stays. */
-  void setAddress(String host, InetSocketAddress address) {
-    Pool pool = pools.computeIfAbsent(host, name -> new Pool());
-    if (!address.equals(pool.address)) {
+  /**
+   * Where a host is reached; its address may change while its name stays. An address belongs to one
+   * host at a time, the one that started last.
+   *
+   * @return the host that was known at this address until now and has gone with that, or null
+   */
+  HostEntry setAddress(HostEntry host, InetSocketAddress address) {
+    HostEntry displaced = null;
+    for (Pool other : pools.values()) {
+      if (address.equals(other.address)
+          && !other.host.host().equals(host.host())
+          && other.host.startedAt() < host.startedAt()) {
+        displaced = other.host;
+      }
+    }
+    if (displaced != null) {
+      forget(displaced.host());
+    }
+    Pool pool = pools.computeIfAbsent(host.host(), name -> new Pool());
+    if (pool.host != null
+        && (!address.equals(pool.address) || host.startedAt() != pool.host.startedAt())) {
+      // Another process: what rests was opened to the one before it.
+      pool.closeIdle();
+    }
+    pool.address = address;
+    pool.host = host;
+    return displaced;
+  }
+
+  /** Lets go of a host that is listed no more; calls on their way to it go on. */
+  void forget(String host) {
+    Pool pool = pools.remove(host);
+    if (pool != null) {
+      pool.forgotten = true;
       pool.closeIdle();
-      pool.address = address;
     }
   }
 
+  /** Lets go of all but these. */
+  void keepOnly(Set<String> hosts) {
+    List<String> gone = pools.keySet().stream().filter(host -> !hosts.contains(host)).toList();
+    gone.forEach(this::forget);
+  }
+
+  /** How many hosts are known. */
+  int size() {
+    return pools.size();
+  }
+
   /** Starts a call, which is told how it ended on a later turn of the loop. */
   Ticket start(String host, HostCall call) {
     Ticket ticket = new Ticket(call);
@@ -163,6 +204,8 @@
   final class Pool {
     private final Deque<HostConnection> idle = new ArrayDeque<>();
     private InetSocketAddress address;
+    private HostEntry host;
+    private boolean forgotten;
 
     String authority() {
       return address.getHostString() + ":" + address.getPort();
@@ -190,27 +233,46 @@
                     @Override
                     protected void initChannel(SocketChannel ch) {
                       LastByteGate gate = new LastByteGate();
-                      HttpClientCodec codec =
-                          new HttpClientCodec(Buffers.decoderConfig(), false, false);
                       ticket.connection = new HostConnection(HostClient.this, Pool.this, gate, ch);
-                      ch.pipeline().addLast(gate, codec, ticket.connection);
+                      ch.pipeline()
+                          .addLast(
+                              gate,
+                              ticket.connection.guard(),
+                              new StrictResponseDecoder(Buffers.decoderConfig()),
+                              new HttpRequestEncoder(),
+                              ticket.connection);
                     }
                   })
               .connect(address);
-      connecting.channel().closeFuture().addListener(closed -> connections--);
       connecting.addListener(
-          done ->
-              loop.execute(
-                  () -> {
-                    if (done.isSuccess()) {
-                      ticket.begin();
-                    } else {
-                      ticket.fail(Result.CONNECT_FAILED);
-                    }
-                  }));
+          done -> {
+            if (done.isSuccess()) {
+              connecting.channel().closeFuture().addListener(closed -> connections--);
+            } else {
+              // Not by the channel's end: one that got no descriptor has none.
+              connections--;
+            }
+            loop.execute(
+                () -> {
+                  if (done.isSuccess()) {
+                    ticket.begin();
+                  } else {
+                    ticket.fail(reached(done.cause()) ? Result.CONNECT_FAILED : Result.NOT_SENT);
+                  }
+                });
+          });
+    }
+
+    /** Whether it is the host that failed, not this machine that lacks a descriptor or port. */
+    private static boolean reached(Throwable cause) {
+      return !(cause instanceof BindException || cause instanceof ChannelException);
     }
 
     void rest(HostConnection c) {
+      if (forgotten) {
+        c.close();
+        return;
+      }
       c.restsSince = clock.nowMs();
       idle.addFirst(c);
     }
--- a/src/main/java/hazelspoke/gateway/HostConnection.java
+++ b/src/main/java/hazelspoke/gateway/HostConnection.java
@@ -28,22 +28,16 @@
    */
   private static final long LAST_BYTE_WAIT_MS = 5;
 
-  /** An answer up to this size is passed on when it is whole, so that a break can be retried. */
-  private static final int HELD_BYTES = 65_536;
-
   /**
-   * A host may take seconds to write a long answer; one that says nothing for this long stopped.
+   * A host writes its answer at once: one that stops in the middle for this long does not fit its
+   * own head. It is as good as spoilt, and waiting on would only keep its request from another try.
    */
-  private static final double STALL_MS = 10_000;
-
-  private static final long STALL_CHECK_MS = 1_000;
-
-  /** How long the rest of an answer that nobody needs may take before the connection is closed. */
-  private static final long REST_MS = 1_000;
+  private static final long STALL_MS = 100;
 
   private final HostClient client;
   private final HostClient.Pool pool;
   private final LastByteGate gate;
+  private final AnswerGuard guard = new AnswerGuard(this);
   private final Channel channel;
 
   /** The call on this connection; null while it rests or reads what is left of an answer. */
@@ -53,13 +47,11 @@
   private boolean sent;
   private HttpHeaders headers = EmptyHttpHeaders.INSTANCE;
   private boolean reading;
-  private boolean interim;
   private boolean reusable;
-  private long length;
+  private long read;
   private Body answer;
   private ByteBudget.Share share;
-  private AnswerSink sink;
-  private double heardAt;
+  private boolean used;
   private ScheduledFuture<?> stallCheck;
   double restsSince;
 
@@ -70,6 +62,11 @@
     this.channel = channel;
   }
 
+  /** Looks at the bytes before they are decoded. */
+  AnswerGuard guard() {
+    return guard;
+  }
+
   boolean isOpen() {
     return channel.isActive();
   }
@@ -83,25 +80,28 @@
     return sent;
   }
 
-  boolean hasStarted() {
-    return sink != null;
-  }
-
   void begin(HostCall next) {
     call = next;
     sent = false;
     reading = false;
     headers = EmptyHttpHeaders.INSTANCE;
+    guard.expectAnswer();
     HttpRequest head = next.head(pool.authority());
     writer = new BodyWriter(channel, head, next.body(), this::allButLastWritten);
   }
 
   private void allButLastWritten(Future<? super Void> written) {
     writer = null;
-    if (!written.isSuccess()) {
+    if (!written.isSuccess() || !channel.isActive()) {
       broken();
       return;
     }
+    if (!used) {
+      // It came up a moment ago: there is no news to wait for.
+      used = true;
+      gate.letGo().addListener(this::lastWritten);
+      return;
+    }
     HostCall mine = call;
     channel
         .eventLoop()
@@ -130,12 +130,42 @@
     }
   }
 
+  /**
+   * Bytes have come. Those that come while nothing is asked, or before all of the request is out,
+   * belong to no request of ours: a second copy or noise behind an earlier answer.
+   */
+  void heard() {
+    if (!sent) {
+      broken();
+    } else {
+      watchStall();
+    }
+  }
+
+  /** What came instead of an answer is none: the host may have run the request all the same. */
+  void spoilt() {
+    if (call != null && sent) {
+      HostCall mine = call;
+      call = null;
+      clear();
+      mine.ended(Result.ERROR, headers);
+    }
+    broken();
+  }
+
   @Override
   public void channelRead(ChannelHandlerContext ctx, Object message) {
     try {
-      heardAt = client.nowMs();
+      if (!channel.isOpen()) {
+        // Closed on account of what came before it in the same bytes.
+        return;
+      }
       if (message instanceof HttpResponse response) {
         answerHead(response);
+      } else if (!(message instanceof HttpContent)) {
+        // Bytes of another protocol.
+        spoilt();
+        return;
       }
       if (message instanceof HttpContent content && reading) {
         answerContent(content);
@@ -148,119 +178,104 @@
   private void answerHead(HttpResponse response) {
     if (call == null || response.decoderResult().isFailure()) {
       // Nothing was asked, or it is no HTTP: whatever it is, it answers no later request.
-      broken();
+      spoilt();
       return;
     }
-    interim = response.status().codeClass() == HttpStatusClass.INFORMATIONAL;
-    if (interim) {
+    if (response.status().codeClass() == HttpStatusClass.INFORMATIONAL) {
+      unwatchStall();
       return;
     }
     reading = true;
+    read = 0;
     headers = response.headers();
-    length = HttpUtil.getContentLength(response, -1L);
+    long length = HttpUtil.getContentLength(response, -1L);
+    // One without a length ends with its connection, and so does one that broke off.
     boolean framed = length >= 0 || HttpUtil.isTransferEncodingChunked(response);
-    reusable = framed && sent && HttpUtil.isKeepAlive(response);
-    if (response.status().equals(HttpResponseStatus.OK)) {
-      answer = new Body();
-      share = client.answerBudget().share(this::resumeReading);
-    } else {
+    boolean fits = framed && length <= Body.MOST_BYTES;
+    reusable = HttpUtil.isKeepAlive(response);
+    if (!response.status().equals(HttpResponseStatus.OK)) {
       boolean turnedAway =
           (response.status().equals(HttpResponseStatus.SERVICE_UNAVAILABLE)
                   || response.status().equals(HttpResponseStatus.GATEWAY_TIMEOUT))
               && "1".equals(headers.get(Headers.TURNED_AWAY));
       end(turnedAway ? Result.REJECTED : Result.ERROR);
-      channel.eventLoop().schedule(this::closeUnlessDone, REST_MS, TimeUnit.MILLISECONDS);
+      watchStall();
+    } else if (fits) {
+      answer = new Body();
+      share = client.answerBudget().share(this::resumeReading);
+    }
+    if (!fits) {
+      spoilt();
     }
   }
 
   private void answerContent(HttpContent content) {
-    if (interim) {
-      interim = !(content instanceof LastHttpContent);
-      return;
-    }
     if (content.decoderResult().isFailure()) {
-      broken();
+      spoilt();
       return;
     }
-    if (call != null) {
-      take(content.content());
-    }
-    if (content instanceof LastHttpContent) {
-      answerWhole();
-    }
-  }
-
-  private void take(ByteBuf bytes) {
-    if (sink == null && Math.max(length, answer.length() + bytes.readableBytes()) > HELD_BYTES) {
-      start();
+    ByteBuf bytes = content.content();
+    read += bytes.readableBytes();
+    if (read > Body.MOST_BYTES) {
+      spoilt();
+      return;
     }
-    if (sink != null) {
-      sink.pass(bytes.retainedSlice());
-    } else if (bytes.isReadable()) {
+    if (call != null && bytes.isReadable()) {
       int more = bytes.readableBytes();
       answer.append(bytes);
       if (!share.add(more)) {
         channel.config().setAutoRead(false);
       }
     }
+    if (content instanceof LastHttpContent) {
+      answerWhole();
+    }
   }
 
-  /** Goes over from holding the answer to passing it on. */
-  private void start() {
-    sink = call.answerStarted(headers, length, this);
-    for (long at = 0; at < answer.length(); ) {
-      ByteBuf slice = answer.slice(at, HELD_BYTES);
-      at += slice.readableBytes();
-      sink.pass(slice);
-    }
-    answer = null;
-    share.release();
-    share = null;
-    stallCheck =
-        channel
-            .eventLoop()
-            .scheduleAtFixedRate(
-                this::checkStall, STALL_CHECK_MS, STALL_CHECK_MS, TimeUnit.MILLISECONDS);
+  private void watchStall() {
+    unwatchStall();
+    stallCheck = channel.eventLoop().schedule(this::checkStall, STALL_MS, TimeUnit.MILLISECONDS);
   }
 
-  /** A host that stopped in the middle may leave its connection open for ever. */
-  private void checkStall() {
-    if (channel.config().isAutoRead() && client.nowMs() - heardAt > STALL_MS) {
-      broken();
+  private void unwatchStall() {
+    if (stallCheck != null) {
+      stallCheck.cancel(false);
+      stallCheck = null;
     }
   }
 
-  void setReading(boolean on) {
-    heardAt = client.nowMs();
-    channel.config().setAutoRead(on);
+  private void checkStall() {
+    if (channel.config().isAutoRead()) {
+      spoilt();
+    } else {
+      // It is this side that does not read on.
+      watchStall();
+    }
   }
 
   private void resumeReading() {
-    setReading(true);
+    channel.config().setAutoRead(true);
   }
 
   private void answerWhole() {
     reading = false;
+    unwatchStall();
     HostCall done = call;
-    if (done == null) {
-      rest();
-      return;
-    }
-    if (sink != null) {
-      sink.finish();
-      end(Result.OK);
-    } else {
+    call = null;
+    // On a turn of its own, after all bytes that came with the answer: those behind it close the
+    // connection before it can be used again.
+    channel.eventLoop().execute(this::rest);
+    if (done != null) {
       Body whole = answer;
       ByteBudget.Share held = share;
-      call = null;
       answer = null;
       share = null;
       done.answered(headers, whole, held);
     }
-    rest();
   }
 
   private void rest() {
+    sent = false;
     channel.config().setAutoRead(true);
     if (reusable && channel.isActive()) {
       pool.rest(this);
@@ -269,12 +284,6 @@
     }
   }
 
-  private void closeUnlessDone() {
-    if (call == null && reading) {
-      close();
-    }
-  }
-
   /** Stops waiting: a connection with a call given up on it is never used again. */
   void giveUp() {
     call = null;
@@ -284,9 +293,6 @@
   /** The connection broke, or is of no more use. */
   private void broken() {
     reading = false;
-    if (sink != null) {
-      sink.cutOff();
-    }
     if (call != null) {
       end(sent ? Result.RESET : Result.CONNECT_FAILED);
     } else {
@@ -303,21 +309,16 @@
   }
 
   private void clear() {
-    sink = null;
     answer = null;
     if (share != null) {
       share.release();
       share = null;
     }
-    if (stallCheck != null) {
-      stallCheck.cancel(false);
-      stallCheck = null;
-    }
+    unwatchStall();
   }
 
   @Override
   public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
-    // Before the codec ends an answer that has no length: a reset is no end.
     broken();
   }
 
--- a/src/main/java/hazelspoke/gateway/HostList.java
+++ b/src/main/java/hazelspoke/gateway/HostList.java
@@ -29,8 +29,8 @@
   }
 
   /**
-   * One entry, or null for a host in a zone that the settings do not list: rule 2 hangs on zones,
-   * and two unknown ones could not be told apart.
+   * One entry, or null for a host that cannot be used: in a zone that the settings do not list, as
+   * rule 2 hangs on zones and two unknown ones could not be told apart, or without an address.
    */
   static Listed entry(JsonTree e, Names names) {
     String name = e.get("name").text(null);
@@ -41,6 +41,11 @@
     if (zone < 0) {
       return null;
     }
+    Availability availability = availability(e.get("status"));
+    InetSocketAddress address = Addresses.parse(e.get("address").text(""));
+    if (address == null && availability == Availability.UP) {
+      return null;
+    }
     double weight = e.get("weight").number(1);
     if (weight < 0) {
       throw e.get("weight").fail("is below 0");
@@ -52,9 +57,9 @@
             names.kind(e.get("type").text("")),
             zone,
             e.get("group").integer(0),
-            availability(e.get("status")),
+            availability,
             e.get("since_ms").number(0)),
-        Addresses.parse(e.get("address").text("")));
+        address);
   }
 
   private static Availability availability(JsonTree status) {
--- a/src/main/java/ternscale/api/HostEntry.java
+++ b/src/main/java/ternscale/api/HostEntry.java
@@ -25,4 +25,9 @@
       throw new IllegalArgumentException("weight of " + host + " must be 0 or more: " + weight);
     }
   }
+
+  /** The same host with other news of whether it may be sent to. */
+  public HostEntry as(Availability now) {
+    return new HostEntry(host, weight, kind, zone, cell, now, startedAt);
+  }
 }
--- a/src/main/java/ternscale/policy/HostTable.java
+++ b/src/main/java/ternscale/policy/HostTable.java
@@ -84,14 +84,6 @@
     return ring;
   }
 
-  Host get(String id) {
-    Host h = byId.get(id);
-    if (h == null) {
-      throw new IllegalArgumentException("host never listed: " + id);
-    }
-    return h;
-  }
-
   void apply(MembersUpdate update, double now) {
     if (update.kind() == MembersUpdate.Kind.FAILED) {
       return;
@@ -122,6 +114,9 @@
         ring.add(h);
       }
     }
+    // Hosts come under ever new ids; what is still out on one that has gone keeps it until then.
+    all.removeIf(
+        h -> h.availability == Availability.GONE && h.inFlight == 0 && byId.remove(h.id) != null);
     ring.sort(Comparator.comparingLong((Host h) -> h.hash).thenComparing(h -> h.id));
   }
 
--- a/src/main/java/ternscale/policy/LcStarBalancer.java
+++ b/src/main/java/ternscale/policy/LcStarBalancer.java
@@ -113,12 +113,12 @@
   @Override
   public void onOutcome(double now, Outcome outcome) {
     checkOpen();
-    Host h = hosts.get(outcome.host());
     Pending p = requests.get(outcome.requestId());
     Pending.Attempt a = p == null ? null : takeOut(p, outcome.attempt());
     if (a == null) {
       return;
     }
+    Host h = a.host();
     h.inFlight--;
     h.connectedAt = now;
     h.longs -= a.isLong() ? 1 : 0;
