--- a/src/main/java/hazelspoke/gateway/HostClient.java
+++ b/src/main/java/hazelspoke/gateway/HostClient.java
@@ -9,7 +9,6 @@
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.EmptyHttpHeaders;
-import io.netty.handler.codec.http.HttpRequestEncoder;
 import java.net.BindException;
 import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
@@ -232,15 +231,8 @@
                   new ChannelInitializer<SocketChannel>() {
                     @Override
                     protected void initChannel(SocketChannel ch) {
-                      LastByteGate gate = new LastByteGate();
-                      ticket.connection = new HostConnection(HostClient.this, Pool.this, gate, ch);
-                      ch.pipeline()
-                          .addLast(
-                              gate,
-                              ticket.connection.guard(),
-                              new StrictResponseDecoder(Buffers.decoderConfig()),
-                              new HttpRequestEncoder(),
-                              ticket.connection);
+                      ticket.connection = new HostConnection(HostClient.this, Pool.this, ch);
+                      ticket.connection.addTo(ch.pipeline());
                     }
                   })
               .connect(address);
--- a/src/main/java/hazelspoke/gateway/HostConnection.java
+++ b/src/main/java/hazelspoke/gateway/HostConnection.java
@@ -4,10 +4,12 @@
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelPipeline;
 import io.netty.handler.codec.http.EmptyHttpHeaders;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpRequestEncoder;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpStatusClass;
@@ -36,8 +38,9 @@
 
   private final HostClient client;
   private final HostClient.Pool pool;
-  private final LastByteGate gate;
+  private final LastByteGate gate = new LastByteGate();
   private final AnswerGuard guard = new AnswerGuard(this);
+  private final StrictResponseDecoder decoder = new StrictResponseDecoder(Buffers.decoderConfig());
   private final Channel channel;
 
   /** The call on this connection; null while it rests or reads what is left of an answer. */
@@ -55,16 +58,15 @@
   private ScheduledFuture<?> stallCheck;
   double restsSince;
 
-  HostConnection(HostClient client, HostClient.Pool pool, LastByteGate gate, Channel channel) {
+  HostConnection(HostClient client, HostClient.Pool pool, Channel channel) {
     this.client = client;
     this.pool = pool;
-    this.gate = gate;
     this.channel = channel;
   }
 
-  /** Looks at the bytes before they are decoded. */
-  AnswerGuard guard() {
-    return guard;
+  /** Sets up what lies between the socket and this. */
+  void addTo(ChannelPipeline pipeline) {
+    pipeline.addLast(gate, guard, decoder, new HttpRequestEncoder(), this);
   }
 
   boolean isOpen() {
@@ -259,10 +261,12 @@
 
   private void answerWhole() {
     reading = false;
+    reusable &= !decoder.hasMore();
     unwatchStall();
     HostCall done = call;
     call = null;
-    // On a turn of its own, after all bytes that came with the answer: those behind it close the
+    // On a turn of its own, after all that came with the answer: another answer behind it closes
+    // the
     // connection before it can be used again.
     channel.eventLoop().execute(this::rest);
     if (done != null) {
--- a/src/main/java/hazelspoke/gateway/StrictResponseDecoder.java
+++ b/src/main/java/hazelspoke/gateway/StrictResponseDecoder.java
@@ -28,4 +28,9 @@
   protected void handleTransferEncodingChunkedWithContentLength(HttpMessage message) {
     throw new IllegalArgumentException("both Content-Length and Transfer-Encoding");
   }
+
+  /** Whether bytes have come behind what was decoded last. */
+  boolean hasMore() {
+    return actualReadableBytes() > 0;
+  }
 }
--- /dev/null
+++ b/src/test/java/hazelspoke/gateway/ChurnTest.java
@@ -0,0 +1,81 @@
+package hazelspoke.gateway;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.util.Set;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Test;
+import ternscale.api.HostEntry;
+import ternscale.api.Settings;
+
+/** Hosts that come and go, and gateways that do. */
+class ChurnTest {
+  @Test
+  void poolsGoWithTheirHostsAndAnAddressHasOneHost() throws Exception {
+    EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    try {
+      HostClient hosts =
+          new HostClient(
+              group.next(),
+              new Clock(),
+              new Settings.Limits(1, false, false, false, false, false, 0, 100, 1_000, 1),
+              10,
+              new ByteBudget(1_000));
+      InetSocketAddress address = new InetSocketAddress("127.0.0.1", 1);
+      assertThat(hosts.setAddress(host("a", 1), address)).isNull();
+      for (int i = 2; i < 1_000; i++) {
+        HostEntry displaced = hosts.setAddress(host("b" + i, i), address);
+        assertThat(displaced.startedAt()).isEqualTo(i - 1);
+      }
+      assertThat(hosts.setAddress(host("b5", 5), address)).isNull();
+      hosts.keepOnly(Set.of("b999"));
+      assertThat(hosts.size()).isEqualTo(1);
+      hosts.forget("b999");
+      assertThat(hosts.size()).isZero();
+    } finally {
+      group.shutdownGracefully(0, 0, TimeUnit.MILLISECONDS);
+    }
+  }
+
+  private static HostEntry host(String name, double startedAt) {
+    return new HostEntry(name, 1, 0, 0, 0, HostEntry.Availability.UP, startedAt);
+  }
+
+  @Test
+  void whatWasTakenIsAnsweredBeforeTheGatewayLeaves() throws Exception {
+    CountDownLatch held = new CountDownLatch(1);
+    try (FakeServer host =
+            new FakeServer(
+                (head, out) -> {
+                  if (head.contains("X-Hold")) {
+                    held.await();
+                  }
+                  return FakeServer.answer(out, FakeServer.ok("late"));
+                });
+        FakeServer discovery = Rig.discovery(Rig.list(2, host));
+        Rig rig = new Rig(160, discovery, host);
+        Socket taken = rig.connect();
+        Socket resting = rig.connect()) {
+      Rig.send(resting, Rig.dispatch(Rig.id(), ""));
+      assertThat(Rig.receive(resting)).endsWith("late");
+      Rig.send(taken, Rig.dispatch(Rig.id(), "X-Hold: 1\r\n"));
+      Rig.await("the request at the host", () -> host.heads.size() == 2);
+      Thread leaving = new Thread(rig::leave);
+      leaving.start();
+      Rig.await("the leave", () -> rig.log.toString().contains("taking leave"));
+      // A client goes on using its connection for as long as that stays open.
+      Rig.send(resting, Rig.dispatch(Rig.id(), ""));
+      assertThat(Rig.receive(resting)).contains("connection: close").endsWith("late");
+      held.countDown();
+      assertThat(Rig.receive(taken)).endsWith("late");
+      leaving.join(Rig.PATIENCE_MS);
+      assertThat(leaving.isAlive()).isFalse();
+    }
+  }
+}
--- /dev/null
+++ b/src/test/java/hazelspoke/gateway/FakeServer.java
@@ -0,0 +1,113 @@
+package hazelspoke.gateway;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.OutputStream;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Locale;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.atomic.AtomicInteger;
+
+/** A host or a discovery on loopback: reads requests, and lets a test write what it likes. */
+final class FakeServer implements AutoCloseable {
+  /** What it does with one request, whose head is given; false closes the connection after it. */
+  interface Reply {
+    boolean to(String head, OutputStream out) throws Exception;
+  }
+
+  final List<String> heads = new CopyOnWriteArrayList<>();
+  final AtomicInteger connections = new AtomicInteger();
+  private final ServerSocket listener;
+  private final List<Socket> sockets = new CopyOnWriteArrayList<>();
+  private final Reply reply;
+
+  FakeServer(Reply reply) throws IOException {
+    this.reply = reply;
+    listener = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
+    daemon(this::accept);
+  }
+
+  String address() {
+    return "127.0.0.1:" + listener.getLocalPort();
+  }
+
+  static boolean answer(OutputStream out, String text) throws IOException {
+    out.write(text.getBytes(StandardCharsets.ISO_8859_1));
+    out.flush();
+    return true;
+  }
+
+  static String ok(String body) {
+    return "HTTP/1.1 200 OK\r\nContent-Length: " + body.length() + "\r\n\r\n" + body;
+  }
+
+  private static void daemon(Runnable work) {
+    Thread thread = new Thread(work);
+    thread.setDaemon(true);
+    thread.start();
+  }
+
+  private void accept() {
+    try {
+      while (true) {
+        Socket socket = listener.accept();
+        connections.incrementAndGet();
+        sockets.add(socket);
+        daemon(() -> serve(socket));
+      }
+    } catch (IOException e) {
+      // Closed: the test is over.
+    }
+  }
+
+  private void serve(Socket socket) {
+    try (socket) {
+      InputStream in = socket.getInputStream();
+      String head;
+      do {
+        head = head(in);
+        if (head == null) {
+          return;
+        }
+        in.readNBytes(length(head));
+        heads.add(head);
+      } while (reply.to(head, socket.getOutputStream()));
+    } catch (Exception e) {
+      // The other side has gone, or the test is over.
+    }
+  }
+
+  /** Reads up to and with the blank line; null at the end of the connection. */
+  static String head(InputStream in) throws IOException {
+    StringBuilder text = new StringBuilder();
+    while (text.indexOf("\r\n\r\n") < 0) {
+      int c = in.read();
+      if (c < 0) {
+        return null;
+      }
+      text.append((char) c);
+    }
+    return text.toString();
+  }
+
+  static int length(String head) {
+    for (String line : head.split("\r\n")) {
+      if (line.toLowerCase(Locale.ROOT).startsWith("content-length:")) {
+        return Integer.parseInt(line.substring(line.indexOf(':') + 1).trim());
+      }
+    }
+    return 0;
+  }
+
+  @Override
+  public void close() throws IOException {
+    listener.close();
+    for (Socket socket : sockets) {
+      socket.close();
+    }
+  }
+}
--- /dev/null
+++ b/src/test/java/hazelspoke/gateway/Rig.java
@@ -0,0 +1,163 @@
+package hazelspoke.gateway;
+
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.OutputStream;
+import java.io.PrintStream;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.BooleanSupplier;
+
+/** A gateway between fakes, all on loopback. */
+final class Rig implements AutoCloseable {
+  /** As good as for ever: what is waited for either comes soon or is broken. */
+  static final int PATIENCE_MS = 30_000;
+
+  private static final AtomicInteger IDS = new AtomicInteger();
+
+  final ByteArrayOutputStream log = new ByteArrayOutputStream();
+  final Path file;
+  final Map<String, String> environment;
+  final Gateway gateway;
+  final InetSocketAddress address;
+  private final String known;
+  private boolean left;
+
+  /** {@code hosts} are what the gateway knows of at its start. */
+  Rig(int sockets, FakeServer discovery, FakeServer... hosts) throws Exception {
+    file = Files.createTempFile("gateway", ".json");
+    environment = Map.of("NODE_CONFIG", file.toString());
+    known = list(1, hosts);
+    configure(config(sockets, discovery.address()));
+    gateway = new Gateway(GatewayConfig.read(environment), new PrintStream(log, true));
+    address = gateway.start();
+  }
+
+  void configure(String text) throws IOException {
+    Files.writeString(file, text);
+  }
+
+  String config(int sockets, String discovery) {
+    return """
+        {"name":"n0","listen":"127.0.0.1:0","discovery":"%s","seed":"1","limits":{"sockets":%d},
+         "known":%s,"settings":{"areas":["a"],"az":0,"instances":1,"discovery":"pushed","quantum":1,
+         "grades":[
+          {"name":"reserve","effect":"by_key","group":"zone","aim":10000,"hard_limit":20000,
+           "window":20000},
+          {"name":"dispatch","effect":"once","group":"all","aim":10000,"hard_limit":20000},
+          {"name":"look","effect":"repeatable","group":"all","aim":10000,"hard_limit":20000}],
+         "limits":{"send_cap":5,"second_copies":true,"cancelling":true,"connect_timeout":5000,
+          "conn_idle":60000},
+         "rules":{"cold_from":0.9,"cold":1000,"fall_multiple":3,"fall":3000,"drain_grace":1000,
+          "grace_to_answer":20,"must_ask_in":10000},"kinds":["k"]}}
+        """
+        .formatted(discovery, sockets, known);
+  }
+
+  static String list(int index, FakeServer... hosts) {
+    List<String> entries = new ArrayList<>();
+    for (FakeServer host : hosts) {
+      entries.add(entry("h" + host.address(), host, "Ready", 0));
+    }
+    return "{\"index\":%d,\"snapshot\":true,\"endpoints\":[%s]}"
+        .formatted(index, String.join(",", entries));
+  }
+
+  static String entry(String name, FakeServer host, String status, long since) {
+    return """
+        {"name":"%s","address":"%s","zone":"a","type":"k","group":0,"status":"%s","weight":1.0,\
+        "since_ms":%d}"""
+        .formatted(name, host.address(), status, since);
+  }
+
+  /** A discovery that tells one list to whoever watches, and then keeps silent. */
+  static FakeServer discovery(String list) throws IOException {
+    return new FakeServer(
+        (head, out) ->
+            FakeServer.answer(
+                out,
+                "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+                    + Integer.toHexString(list.length() + 1)
+                    + "\r\n"
+                    + list
+                    + "\n\r\n"));
+  }
+
+  static String id() {
+    return "txn" + IDS.incrementAndGet();
+  }
+
+  static String dispatch(String txn, String more) {
+    return "POST /dispatch HTTP/1.1\r\nHost: x\r\nX-Lane: dispatch\r\nX-Txn: "
+        + txn
+        + "\r\nX-Remaining: 20.0\r\n"
+        + more
+        + "\r\n";
+  }
+
+  Socket connect() throws IOException {
+    Socket socket = new Socket(address.getAddress(), address.getPort());
+    socket.setSoTimeout(PATIENCE_MS);
+    return socket;
+  }
+
+  static void send(Socket socket, String text) throws IOException {
+    OutputStream out = socket.getOutputStream();
+    out.write(text.getBytes(StandardCharsets.ISO_8859_1));
+    out.flush();
+  }
+
+  /** The next answer on a connection: its head and body, or null when it ends without one. */
+  static String receive(Socket socket) throws IOException {
+    try {
+      String head = FakeServer.head(socket.getInputStream());
+      return head == null
+          ? null
+          : head
+              + new String(
+                  socket.getInputStream().readNBytes(FakeServer.length(head)),
+                  StandardCharsets.ISO_8859_1);
+    } catch (java.net.SocketException e) {
+      return null;
+    }
+  }
+
+  /** One request on a connection of its own. */
+  String ask(String request) throws IOException {
+    try (Socket socket = connect()) {
+      send(socket, request);
+      return receive(socket);
+    }
+  }
+
+  static void await(String what, BooleanSupplier condition) throws InterruptedException {
+    long end = System.nanoTime() + PATIENCE_MS * 1_000_000L;
+    while (!condition.getAsBoolean()) {
+      if (System.nanoTime() > end) {
+        throw new AssertionError("never came: " + what);
+      }
+      Thread.sleep(5);
+    }
+  }
+
+  /** Takes leave as after SIGTERM; the gateway is gone when this returns. */
+  void leave() {
+    if (!left) {
+      left = true;
+      gateway.drain();
+    }
+  }
+
+  @Override
+  public void close() throws Exception {
+    leave();
+    Files.deleteIfExists(file);
+  }
+}
