--- a/src/main/java/hazelspoke/gateway/HostConnection.java
+++ b/src/main/java/hazelspoke/gateway/HostConnection.java
@@ -30,6 +30,12 @@
    */
   private static final long LAST_BYTE_WAIT_MS = 5;
 
+  /**
+   * And after how long a rest: of a connection that was in use a moment ago any news has come. What
+   * this does not see is a machine that was away for less, and kept its process.
+   */
+  private static final double LONG_REST_MS = 500;
+
   /**
    * A host writes its answer at once: one that stops in the middle for this long does not fit its
    * own head. It is as good as spoilt, and waiting on would only keep its request from another try.
@@ -54,7 +60,7 @@
   private long read;
   private Body answer;
   private ByteBudget.Share share;
-  private boolean used;
+  private boolean rested;
   private ScheduledFuture<?> stallCheck;
   double restsSince;
 
@@ -87,6 +93,7 @@
     sent = false;
     reading = false;
     headers = EmptyHttpHeaders.INSTANCE;
+    rested = restsSince > 0 && client.nowMs() - restsSince > LONG_REST_MS;
     guard.expectAnswer();
     HttpRequest head = next.head(pool.authority());
     writer = new BodyWriter(channel, head, next.body(), this::allButLastWritten);
@@ -98,9 +105,7 @@
       broken();
       return;
     }
-    if (!used) {
-      // It came up a moment ago: there is no news to wait for.
-      used = true;
+    if (!rested) {
       gate.letGo().addListener(this::lastWritten);
       return;
     }
--- a/src/main/java/ternscale/policy/Admission.java
+++ b/src/main/java/ternscale/policy/Admission.java
@@ -30,16 +30,10 @@
 
   private static final double USUAL_SPAN_MS = 100;
 
-  /**
-   * The shed level moves by time, so that a gateway with little traffic leaves a jam as soon as one
-   * with much. The two balance where one outcome in four is bad.
-   */
+  /** The level moves by time, whatever the traffic; in balance where one outcome in four is bad. */
   private static final double RISE_PER_MS = 0.5e-3;
 
-  /**
-   * While clients do not repeat, what is late feeds no jam and refusing soon costs more
-   * (bc-screening, calm days); told apart only where repeats are marked.
-   */
+  /** Without repeats what is late feeds no jam (bc-screening); known only where they are marked. */
   private static final double CALM_RISE_PER_MS = 0.3e-3;
 
   private static final double CALM_REPEATS = 0.05;
@@ -219,6 +213,10 @@
     heardAt = now - span * (1 - OUTCOME_PART);
   }
 
+  double level() {
+    return level;
+  }
+
   private double risePerMs(Result result) {
     boolean calm = settings.clientsMarkRetries() && repeats < CALM_REPEATS;
     return calm && result == Result.OK ? CALM_RISE_PER_MS : RISE_PER_MS;
@@ -240,11 +238,7 @@
   private void age(double now) {
     double keep = Math.exp((at - now) / MIX_MEMORY_MS);
     at = now;
-    for (int i = 0; i < work.length; i++) {
-      work[i] *= keep;
-    }
-    for (int i = 0; i < tenantCount.length; i++) {
-      tenantCount[i] *= keep;
-    }
+    Arrays.setAll(work, i -> work[i] * keep);
+    Arrays.setAll(tenantCount, i -> tenantCount[i] * keep);
   }
 }
--- a/src/main/java/ternscale/policy/ColdStart.java
+++ b/src/main/java/ternscale/policy/ColdStart.java
@@ -57,10 +57,7 @@
     return Math.min(1, rules.coldFrom() + (1 - rules.coldFrom()) * grown);
   }
 
-  /**
-   * Starts the budget of a host after a random part of the first interval, as gateways hear of it
-   * together: a full credit everywhere would push the host over in one burst.
-   */
+  /** Starts a budget at random: full credit at all gateways would push the host over at once. */
   void begin(Host h, double now) {
     h.coldLevel = -random.nextDouble() * meanWork();
     h.coldLevelAt = now;
@@ -113,12 +110,7 @@
   /** Counts the hosts that are up and those of them that are warm. */
   void census(List<Host> up, double now) {
     listed = up.size();
-    warm = 0;
-    for (Host h : up) {
-      if (!isCold(h, now)) {
-        warm++;
-      }
-    }
+    warm = (int) up.stream().filter(h -> !isCold(h, now)).count();
     bornePerHost(now);
   }
 
--- a/src/main/java/ternscale/policy/Host.java
+++ b/src/main/java/ternscale/policy/Host.java
@@ -21,6 +21,9 @@
   /** Own long requests in flight: the flag of LC*, as a count. */
   int longs;
 
+  /** Since when it owes an answer and gave none; see {@link HostTable#isQuiet}. */
+  double quietSince;
+
   /** Outlier ejection: sent nothing before this time. */
   double ejectedUntil;
 
--- a/src/main/java/ternscale/policy/HostTable.java
+++ b/src/main/java/ternscale/policy/HostTable.java
@@ -22,9 +22,7 @@
   /** Evidence of the kind a host starts with, in outcomes: few outcomes say little of a host. */
   private static final double PRIOR_OUTCOMES = 3;
 
-  /**
-   * Weight of an outcome in its zone's slowness: single answers differ more; few come from afar.
-   */
+  /** Weight of an outcome in its zone's slowness: single ones differ more; few come from afar. */
   private static final double ZONE_STEP = 0.01;
 
   private static final double FAR_STEP = 0.1;
@@ -55,6 +53,9 @@
   /** A time-out may be a long request or a jam; it takes two to eject. */
   private static final double TIMEOUT_EVIDENCE = 0.5;
 
+  /** With short ones out, a host that has said nothing for this part of the aim hangs or pauses. */
+  private static final double QUIET_PART = 0.5;
+
   private final Map<String, Host> byId = new HashMap<>();
   private final List<Host> all = new ArrayList<>();
   private final ColdStart coldStart;
@@ -114,19 +115,29 @@
         ring.add(h);
       }
     }
-    // Hosts come under ever new ids; what is still out on one that has gone keeps it until then.
+    // Hosts come under ever new ids; one that has gone stays only for what is still out on it.
     all.removeIf(
         h -> h.availability == Availability.GONE && h.inFlight == 0 && byId.remove(h.id) != null);
     ring.sort(Comparator.comparingLong((Host h) -> h.hash).thenComparing(h -> h.id));
   }
 
+  /**
+   * Whether a host seems to hang: known long before its first time-out, and over with any answer.
+   */
+  boolean isQuiet(Host h, Pending p, double now) {
+    return h.inFlight > h.longs && now - h.quietSince > QUIET_PART * p.type.aimMs();
+  }
+
   /** Learns from one attempt that ended. */
-  void learn(Host h, Pending p, Result result, double elapsedMs, double now) {
+  void learn(Host h, Pending p, Pending.Attempt a, Result result, double elapsedMs, double now) {
     h.age(now, MEMORY_MS);
     if (result == Result.CANCELLED || result == Result.NOT_SENT) {
       return;
     }
     h.attempts++;
+    if (result == Result.OK || result == Result.ERROR || result == Result.REJECTED) {
+      h.quietSince = now;
+    }
     if (result == Result.OK) {
       if (h.failures < EJECT_FAILURES / 3) {
         h.ejections = Math.max(0, h.ejections - 1);
@@ -139,7 +150,10 @@
       }
     } else {
       h.failures += result == Result.TIMEOUT ? TIMEOUT_EVIDENCE : 1;
-      if (h.failures >= EJECT_FAILURES && h.failures > h.attempts * EJECT_RATE) {
+      if (result == Result.TIMEOUT && h.quietSince <= a.sentAt() && !a.isLong()) {
+        // Not a word all that time, to nobody: it hangs, and an empty count would draw in more.
+        eject(h, EJECT_SHARE, now);
+      } else if (h.failures >= EJECT_FAILURES && h.failures > h.attempts * EJECT_RATE) {
         if (result == Result.ERROR) {
           h.erringUntil = now + ERRING_MS;
         } else {
--- a/src/main/java/ternscale/policy/LcStarBalancer.java
+++ b/src/main/java/ternscale/policy/LcStarBalancer.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
+import java.util.function.Predicate;
 import ternscale.api.Actions;
 import ternscale.api.Balancer;
 import ternscale.api.HostEntry.Availability;
@@ -32,10 +33,7 @@
   /** A long one waits this part of its aim; the paper lets it wait without end. */
   private static final double LONG_WAIT = 0.1;
 
-  /**
-   * Connections idle for this long are closed: at full size, one from each gateway to each host
-   * fills the hosts' tables (incident i59fa1d). Hosts in steady use keep theirs.
-   */
+  /** Connections idle for this long are closed: they fill the hosts' tables (incident i59fa1d). */
   private static final double LINGER_MS = 1_000;
 
   private final Settings settings;
@@ -122,8 +120,9 @@
     h.inFlight--;
     h.connectedAt = now;
     h.longs -= a.isLong() ? 1 : 0;
-    hosts.learn(h, p, outcome.result(), outcome.elapsedMs(), now);
-    if (!p.ended && !p.isLong && h.rejections <= HostTable.EJECT_REJECTIONS) {
+    hosts.learn(h, p, a, outcome.result(), outcome.elapsedMs(), now);
+    boolean ofLoad = h.ejectedUntil <= now && h.rejections <= HostTable.EJECT_REJECTIONS;
+    if (!p.ended && !p.isLong && ofLoad) {
       admission.onOutcome(p, outcome.result(), outcome.elapsedMs(), now);
     }
     if (outcome.result() == Outcome.Result.OK) {
@@ -196,9 +195,14 @@
       end(p, now);
       return;
     }
-    Host h = selector.pick(p.info.key(), p.isLong, now, host -> maySend(p, host, now));
+    Predicate<Host> ready = host -> maySend(p, host, now);
+    Predicate<Host> awake = ready.and(host -> !hosts.isQuiet(host, p, now));
+    Host h = selector.pick(p.info.key(), p.isLong, now, awake);
+    if (h == null) {
+      h = selector.pick(p.info.key(), p.isLong, now, ready);
+    }
     if (h == null && p.isLong && now - p.arrivedAt > LONG_WAIT * p.type.aimMs()) {
-      h = selector.pick(p.info.key(), false, now, host -> maySend(p, host, now));
+      h = selector.pick(p.info.key(), false, now, ready);
     }
     if (h != null) {
       send(p, h, now);
@@ -243,7 +247,7 @@
       throw new IllegalStateException("a rule forbids sending " + p.info.id() + " to " + h.id);
     }
     p.out.add(new Pending.Attempt(p.attempts++, h, now, p.isLong));
-    h.inFlight++;
+    h.quietSince = h.inFlight++ == 0 ? now : h.quietSince;
     h.connectedAt = now;
     h.longs += p.isLong ? 1 : 0;
     coldStart.onSend(h, p.work(), now);
@@ -256,7 +260,7 @@
   private void end(Pending p, double now) {
     close(p);
     if (p.mayRefuse()) {
-      actions.refuse(p.info.id(), 0);
+      actions.refuse(p.info.id(), admission.level() * settings.limits().maxRetryAfterMs());
     } else {
       actions.fail(p.info.id());
     }
@@ -284,9 +288,10 @@
   }
 
   private static Pending.Attempt takeOut(Pending p, int number) {
-    for (int i = 0; i < p.out.size(); i++) {
-      if (p.out.get(i).number() == number) {
-        return p.out.remove(i);
+    for (Pending.Attempt a : p.out) {
+      if (a.number() == number) {
+        p.out.remove(a);
+        return a;
       }
     }
     return null;
--- a/src/main/java/ternscale/policy/Membership.java
+++ b/src/main/java/ternscale/policy/Membership.java
@@ -52,13 +52,12 @@
         || update.kind() == MembersUpdate.Kind.CACHED) {
       return;
     }
+    // A failure names no call: whether ours failed or the subscription broke, ask again later.
+    calling = false;
     if (update.kind() != MembersUpdate.Kind.FAILED) {
-      calling = false;
       failures = 0;
       return;
     }
-    // A failure names no call: whether ours failed or the subscription broke, ask again later.
-    calling = false;
     failures = Math.min(failures + 1, 4);
     double base = BACK_OFF * settings.rules().mustAskInMs() * (1 << (failures - 1));
     callIn(base * (0.5 + random.nextDouble()));
--- a/src/main/java/ternscale/policy/Selector.java
+++ b/src/main/java/ternscale/policy/Selector.java
@@ -11,9 +11,8 @@
 /**
  * The LC* scan: every host is looked at, the fewest own requests in flight win. Ties go to the
  * hosts the key hashes to, where hosts remember keys (weighted rendezvous hashing), elsewhere to
- * this gateway's own part of the fleet, whose connections stay open and whose outcomes are many
- * enough to learn from. What is left is drawn at random, weighted by what a host seems able to
- * bear.
+ * the own part of the fleet, whose connections stay open and whose outcomes are many enough to
+ * learn from. What is left is drawn at random, weighted by what a host seems able to bear.
  */
 final class Selector {
   /** How strongly seen slowness moves ties away: above 1, as queues grow faster than load. */
@@ -87,9 +86,7 @@
     }
   }
 
-  /**
-   * The host for a request, or null when none is ready. A long one passes over hosts with a long.
-   */
+  /** The host for a request, or null if none is ready. A long one passes over hosts with one. */
   Host pick(String key, boolean isLong, double now, Predicate<Host> ready) {
     if (now - refreshedAt >= REFRESH_MS) {
       refresh(now);
--- a/src/test/java/ternscale/policy/DeparturesTest.java
+++ b/src/test/java/ternscale/policy/DeparturesTest.java
@@ -485,4 +485,34 @@
     }
     assertThat(paused).isPositive().isLessThan(steady / 3 / 2);
   }
+
+  @Test
+  void aHostThatSaysNothingToAnyoneIsPassedOverBeforeAndAfterItsTimeOuts() {
+    Gateway g = new Gateway(REPEATABLE, 3);
+    g.hosts(2);
+    g.request(0, 10);
+    Gateway.Sent hung = g.lastSent();
+    for (int i = 0; i < 40; i++) {
+      g.now += 20;
+      g.request(0, 10);
+      g.request(0, 10);
+      // The second would go to the silent one by its count alone: both hold one then.
+      Gateway.Sent[] two = {g.sent.get(g.sent.size() - 2), g.lastSent()};
+      for (Gateway.Sent s : two) {
+        if (i > 13) {
+          assertThat(s.host()).isNotEqualTo(hung.host());
+        }
+        if (!s.host().equals(hung.host())) {
+          g.outcome(s, Result.OK, 15, true);
+        }
+      }
+    }
+    g.outcome(hung, Result.TIMEOUT, 800, true);
+    for (Gateway.Sent s : java.util.List.copyOf(g.sent)) {
+      if (s.host().equals(hung.host())) {
+        g.outcome(s, Result.TIMEOUT, 800, true);
+      }
+    }
+    assertThat(serve(g, 20, 20)).doesNotContainKey(hung.host());
+  }
 }
