--- a/src/main/java/hazelspoke/gateway/ClientConnection.java
+++ b/src/main/java/hazelspoke/gateway/ClientConnection.java
@@ -24,6 +24,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
 import java.util.Deque;
+import java.util.Locale;
 import java.util.concurrent.TimeUnit;
 
 /** One connection of a client's: reads its requests one after the other, and writes the answers. */
@@ -249,7 +250,8 @@
     head.headers().set(HttpHeaderNames.CONTENT_TYPE, "text/plain; charset=utf-8");
     head.headers().set(HttpHeaderNames.CONTENT_LENGTH, body.length());
     if (retryAfterSeconds > 0) {
-      head.headers().set(HttpHeaderNames.RETRY_AFTER, retryAfterSeconds);
+      head.headers()
+          .set(HttpHeaderNames.RETRY_AFTER, String.format(Locale.ROOT, "%.3f", retryAfterSeconds));
     }
     write(head, body);
   }
--- a/src/main/java/hazelspoke/gateway/Gateway.java
+++ b/src/main/java/hazelspoke/gateway/Gateway.java
@@ -67,6 +67,7 @@
     Gateway gateway = new Gateway(config, err);
     Signal.handle(new Signal("HUP"), signal -> gateway.reload(environment));
     try {
+      new WarmUp(config).run(gateway.log);
       gateway.start();
     } catch (IllegalStateException e) {
       err.println("hazelspoke: " + e.getMessage());
--- a/src/main/java/hazelspoke/gateway/HostConnection.java
+++ b/src/main/java/hazelspoke/gateway/HostConnection.java
@@ -263,8 +263,7 @@
     unwatchStall();
     HostCall done = call;
     call = null;
-    // On a turn of its own, after all that came with the answer: another answer behind it closes
-    // the
+    // On a turn of its own, after all that came with the answer: what lies behind it closes the
     // connection before it can be used again.
     channel.eventLoop().execute(this::rest);
     if (done != null) {
@@ -278,8 +277,9 @@
 
   private void rest() {
     sent = false;
+    unwatchStall();
     channel.config().setAutoRead(true);
-    if (reusable && channel.isActive()) {
+    if (reusable && !decoder.hasMore() && channel.isActive()) {
       pool.rest(this);
     } else {
       close();
--- a/src/main/java/ternscale/policy/HostTable.java
+++ b/src/main/java/ternscale/policy/HostTable.java
@@ -121,9 +121,7 @@
     ring.sort(Comparator.comparingLong((Host h) -> h.hash).thenComparing(h -> h.id));
   }
 
-  /**
-   * Whether a host seems to hang: known long before its first time-out, and over with any answer.
-   */
+  /** Whether a host seems to hang: known before its first time-out, over with any answer. */
   boolean isQuiet(Host h, Pending p, double now) {
     double since = Math.max(h.heardAt, h.busySince);
     return h.inFlight > h.longs && now - since > QUIET_PART * p.type.aimMs();
@@ -151,7 +149,10 @@
       }
     } else {
       h.failures += result == Result.TIMEOUT ? TIMEOUT_EVIDENCE : 1;
-      if (result == Result.TIMEOUT && h.heardAt <= a.sentAt() && !a.isLong()) {
+      if (result == Result.TIMEOUT
+          && h.heardAt <= a.sentAt()
+          && !a.isLong()
+          && elapsedMs >= p.type.aimMs()) {
         // Not a word all that time, to nobody: it hangs, and an empty count would draw in more.
         h.ejections = 0;
         eject(h, EJECT_SHARE, now);
--- a/src/test/java/hazelspoke/gateway/RehearsalTest.java
+++ b/src/test/java/hazelspoke/gateway/RehearsalTest.java
@@ -14,4 +14,17 @@
     assertThat(Rehearsal.run(new PrintStream(err, true))).isZero();
     assertThat(err.toString()).contains("taking leave");
   }
+
+  @Test
+  void theWarmUpGoesThroughEveryStepWithoutAFailure() throws Exception {
+    try (FakeServer host = new FakeServer((head, out) -> false);
+        FakeServer discovery = Rig.discovery(Rig.list(1, host));
+        Rig rig = new Rig(160, discovery, host)) {
+      ByteArrayOutputStream err = new ByteArrayOutputStream();
+      new WarmUp(GatewayConfig.read(rig.environment))
+          .run(new Log(new PrintStream(err, true), new Clock()));
+      assertThat(err.toString()).isEmpty();
+      assertThat(host.connections.get()).isZero();
+    }
+  }
 }
