--- a/src/main/java/hazelspoke/gateway/WarmUp.java
+++ b/src/main/java/hazelspoke/gateway/WarmUp.java
@@ -23,8 +23,8 @@
  * longer, while others carry its share.
  */
 final class WarmUp {
-  private static final int MOST_REQUESTS = 2_000;
-  private static final double MOST_MS = 600;
+  private static final int MOST_REQUESTS = 4_000;
+  private static final double MOST_MS = 1_200;
 
   private final GatewayConfig config;
   private final Clock clock = new Clock();
