Warm up over sockets, through a whole gateway

Cause: after a start a request costs 3 to 5 ms of CPU until some 300 have passed, with 0.5 ms usual later, so with half a core the loop jams; sampled stacks and the list of loaded classes show why. WarmUp's decoders on no socket left accepting, pools, timers, bodies, second tries and the writes cold; Netty set up the flight recorder at its first buffer (27 of 78 samples in the first requests, 24 proxy classes), linking string concatenations took 30 ms before the first line of ours, and String.format was 7 % of a cold request.

WarmUp now plays 300 requests through a gateway of its own over Unix sockets, with new connections, errors and hosts that turn away or break off. Transport says of what make the sockets are.

Flags that bring nothing: C1MaxInlineLevel and C1MaxInlineSize (same CPU), higher or lower compile thresholds (more CPU), one compiler thread (more CPU).

--- a/src/main/java/hazelspoke/gateway/ClientConnection.java
+++ b/src/main/java/hazelspoke/gateway/ClientConnection.java
@@ -4,7 +4,7 @@
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
-import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.DuplexChannel;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.DefaultHttpResponse;
 import io.netty.handler.codec.http.HttpContent;
@@ -24,7 +24,6 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
 import java.util.Deque;
-import java.util.Locale;
 import java.util.concurrent.TimeUnit;
 
 /** One connection of a client's: reads its requests one after the other, and writes the answers. */
@@ -239,19 +238,18 @@
   }
 
   /** Answers in the gateway's own words. */
-  void answer(HttpResponseStatus status, double retryAfterSeconds) {
-    answer(status, status.reasonPhrase(), retryAfterSeconds);
+  void answer(HttpResponseStatus status, double retryAfterMs) {
+    answer(status, status.reasonPhrase(), retryAfterMs);
   }
 
-  private void answer(HttpResponseStatus status, String text, double retryAfterSeconds) {
+  private void answer(HttpResponseStatus status, String text, double retryAfterMs) {
     Body body = new Body();
     body.append(Unpooled.copiedBuffer(text + "\n", StandardCharsets.UTF_8));
     HttpResponse head = responseHead(status, null);
     head.headers().set(HttpHeaderNames.CONTENT_TYPE, "text/plain; charset=utf-8");
     head.headers().set(HttpHeaderNames.CONTENT_LENGTH, body.length());
-    if (retryAfterSeconds > 0) {
-      head.headers()
-          .set(HttpHeaderNames.RETRY_AFTER, String.format(Locale.ROOT, "%.3f", retryAfterSeconds));
+    if (retryAfterMs > 0) {
+      head.headers().set(HttpHeaderNames.RETRY_AFTER, Headers.seconds(retryAfterMs));
     }
     write(head, body);
   }
@@ -324,7 +322,7 @@
     enter(State.CLOSING);
     dropAhead();
     channel.config().setAutoRead(true);
-    ((SocketChannel) channel).shutdownOutput();
+    ((DuplexChannel) channel).shutdownOutput();
     channel.eventLoop().schedule(this::close, LINGER_MS, TimeUnit.MILLISECONDS);
   }
 
--- a/src/main/java/hazelspoke/gateway/ClientServer.java
+++ b/src/main/java/hazelspoke/gateway/ClientServer.java
@@ -7,8 +7,6 @@
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
-import io.netty.channel.socket.SocketChannel;
-import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponseEncoder;
 import java.net.InetSocketAddress;
@@ -82,31 +80,29 @@
     loop.scheduleAtFixedRate(this::sweep, SWEEP_MS, SWEEP_MS, TimeUnit.MILLISECONDS);
   }
 
-  ChannelFuture listen(InetSocketAddress address) {
+  ChannelFuture listen(Transport transport, InetSocketAddress address) {
     ChannelFuture binding =
         new ServerBootstrap()
             .group(loop)
-            .channel(NioServerSocketChannel.class)
+            .channel(transport.server())
             .option(ChannelOption.SO_BACKLOG, BACKLOG)
-            .option(ChannelOption.SO_REUSEADDR, true)
             .childOption(ChannelOption.ALLOCATOR, Buffers.ALLOCATOR)
             .childOption(ChannelOption.RECVBUF_ALLOCATOR, Buffers.reads())
             .childOption(ChannelOption.WRITE_BUFFER_WATER_MARK, Buffers.WATER_MARK)
-            .childOption(ChannelOption.TCP_NODELAY, true)
             .childHandler(
-                new ChannelInitializer<SocketChannel>() {
+                new ChannelInitializer<Channel>() {
                   @Override
-                  protected void initChannel(SocketChannel ch) {
+                  protected void initChannel(Channel ch) {
                     accept(ch);
                   }
                 })
-            .bind(address);
+            .bind(transport.listening().apply(address));
     listener = binding.channel();
     ready = true;
     return binding;
   }
 
-  private void accept(SocketChannel ch) {
+  private void accept(Channel ch) {
     ClientConnection connection = new ClientConnection(this, ch);
     ch.pipeline()
         .addLast(
--- a/src/main/java/hazelspoke/gateway/DiscoveryClient.java
+++ b/src/main/java/hazelspoke/gateway/DiscoveryClient.java
@@ -9,8 +9,6 @@
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
-import io.netty.channel.socket.SocketChannel;
-import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.HttpClientCodec;
 import io.netty.handler.codec.http.HttpContent;
@@ -48,6 +46,7 @@
   private static final long PUSHED_AGAIN_MS = 500;
 
   private final Bootstrap bootstrap;
+  private final Transport transport;
   private InetSocketAddress address;
   private final boolean pushed;
   private final Names names;
@@ -61,15 +60,17 @@
 
   DiscoveryClient(
       EventLoop loop,
+      Transport transport,
       GatewayConfig config,
       Clock clock,
       Log log,
       Consumer<HostList.Update> onUpdate,
       Runnable onFailed) {
+    this.transport = transport;
     bootstrap =
         new Bootstrap()
             .group(loop)
-            .channel(NioSocketChannel.class)
+            .channel(transport.client())
             .option(ChannelOption.ALLOCATOR, Buffers.ALLOCATOR)
             .option(ChannelOption.RECVBUF_ALLOCATOR, Buffers.reads())
             .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MS);
@@ -145,13 +146,13 @@
           bootstrap
               .clone()
               .handler(
-                  new ChannelInitializer<SocketChannel>() {
+                  new ChannelInitializer<Channel>() {
                     @Override
-                    protected void initChannel(SocketChannel ch) {
+                    protected void initChannel(Channel ch) {
                       ch.pipeline().addLast(new HttpClientCodec(), Call.this);
                     }
                   })
-              .connect(address);
+              .connect(transport.calling().apply(address));
       channel = connecting.channel();
       check =
           channel
--- a/src/main/java/hazelspoke/gateway/Dispatcher.java
+++ b/src/main/java/hazelspoke/gateway/Dispatcher.java
@@ -32,7 +32,6 @@
   /** A request still unanswered this long after its deadline is failed here: a bug, not a rule. */
   private static final double OVERDUE_MS = 15;
 
-  private static final double MS_PER_SECOND = 1_000;
   private static final double NANOS_PER_MS = 1e6;
 
   private final EventLoop loop;
@@ -178,7 +177,7 @@
   private void answer(Exchange x, HttpResponseStatus status, double retryAfterMs) {
     if (!x.ended) {
       end(x);
-      x.client.answer(status, retryAfterMs / MS_PER_SECOND);
+      x.client.answer(status, retryAfterMs);
     }
   }
 
--- a/src/main/java/hazelspoke/gateway/Exchange.java
+++ b/src/main/java/hazelspoke/gateway/Exchange.java
@@ -8,14 +8,11 @@
 import io.netty.handler.codec.http.HttpVersion;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.Locale;
 import ternscale.api.RequestInfo;
 import ternscale.api.Settings.Effect;
 
 /** One request of a client's: what it says, and how far it has come. */
 final class Exchange {
-  private static final double MS_PER_SECOND = 1_000;
-
   private final RequestHead head;
   final ClientConnection client;
   final Body body = new Body();
@@ -74,9 +71,7 @@
     Headers.copyEndToEnd(from.headers(), to.headers());
     to.headers()
         .set(HttpHeaderNames.HOST, authority)
-        .set(
-            Headers.REMAINING,
-            String.format(Locale.ROOT, "%.3f", Math.max(0, deadline - now) / MS_PER_SECOND));
+        .set(Headers.REMAINING, Headers.seconds(Math.max(0, deadline - now)));
     if (body.length() > 0 || !from.method().equals(HttpMethod.GET)) {
       to.headers().set(HttpHeaderNames.CONTENT_LENGTH, body.length());
     }
--- a/src/main/java/hazelspoke/gateway/Gateway.java
+++ b/src/main/java/hazelspoke/gateway/Gateway.java
@@ -7,6 +7,7 @@
 import io.netty.channel.nio.NioIoHandler;
 import java.io.PrintStream;
 import java.net.InetSocketAddress;
+import java.net.SocketAddress;
 import java.util.Map;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
@@ -45,13 +46,15 @@
   private final EventLoop loop = group.next();
   private final Clock clock = new Clock();
   private final Log log;
+  private final Transport transport;
   private final CountDownLatch drained = new CountDownLatch(1);
   private DiscoveryClient discovery;
   private ClientServer clients;
   private boolean leaving;
 
-  Gateway(GatewayConfig config, PrintStream err) {
+  Gateway(GatewayConfig config, PrintStream err, Transport transport) {
     this.config = config;
+    this.transport = transport;
     log = new Log(err, clock);
   }
 
@@ -64,14 +67,14 @@
       err.println("hazelspoke: " + e.getMessage());
       return 1;
     }
-    Gateway gateway = new Gateway(config, err);
+    Gateway gateway = new Gateway(config, err, Transport.TCP);
     Signal.handle(new Signal("HUP"), signal -> gateway.reload(environment));
     try {
-      new WarmUp(config).run(gateway.log);
+      new WarmUp(config, environment).run(gateway.log, WarmUp.MOST_MS);
       gateway.start();
     } catch (IllegalStateException e) {
       err.println("hazelspoke: " + e.getMessage());
-      gateway.group.shutdownGracefully(0, 0, TimeUnit.MILLISECONDS);
+      gateway.stop();
       return 1;
     }
     Runtime.getRuntime().addShutdownHook(new Thread(gateway::drain, "drain"));
@@ -79,13 +82,13 @@
   }
 
   /** Starts everything and returns the address that clients can connect to. */
-  InetSocketAddress start() {
+  SocketAddress start() {
     ChannelFuture binding = loop.submit(this::wire).syncUninterruptibly().getNow();
     if (!binding.awaitUninterruptibly().isSuccess()) {
       throw new IllegalStateException(
           "field config.listen cannot be listened on: " + binding.cause().getMessage());
     }
-    return (InetSocketAddress) binding.channel().localAddress();
+    return binding.channel().localAddress();
   }
 
   private ChannelFuture wire() {
@@ -94,11 +97,17 @@
     int clientSockets = shared - hostSockets;
     HostClient hosts =
         new HostClient(
-            loop, clock, config.settings().limits(), hostSockets, new ByteBudget(ANSWER_BYTES));
+            loop,
+            transport,
+            clock,
+            config.settings().limits(),
+            hostSockets,
+            new ByteBudget(ANSWER_BYTES));
     Dispatcher dispatcher = new Dispatcher(loop, config, clock, log, hosts);
     discovery =
         new DiscoveryClient(
             loop,
+            transport,
             config,
             clock,
             log,
@@ -114,7 +123,7 @@
     clients =
         new ClientServer(
             loop, clock, config, dispatcher, new ByteBudget(BODY_BYTES), clientSockets);
-    return clients.listen(config.listen());
+    return clients.listen(transport, config.listen());
   }
 
   /**
@@ -155,6 +164,11 @@
     } catch (InterruptedException e) {
       Thread.currentThread().interrupt();
     }
+    stop();
+  }
+
+  /** Ends at once, with whatever is under way. */
+  void stop() {
     group.shutdownGracefully(0, 0, TimeUnit.MILLISECONDS).awaitUninterruptibly();
   }
 
--- a/src/main/java/hazelspoke/gateway/Headers.java
+++ b/src/main/java/hazelspoke/gateway/Headers.java
@@ -51,6 +51,16 @@
     }
   }
 
+  /**
+   * A time in seconds, to the millisecond below. Every request bears one, and {@link String#format}
+   * alone took a fifteenth of the time that a request takes in a gateway just started.
+   */
+  static String seconds(double ms) {
+    long whole = (long) ms;
+    String thousandths = Long.toString(1_000 + whole % 1_000).substring(1);
+    return whole / 1_000 + "." + thousandths;
+  }
+
   /** A request for this path, with nothing to it. */
   static HttpRequest get(String path, String authority) {
     HttpRequest request = new DefaultHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, path);
--- a/src/main/java/hazelspoke/gateway/HostClient.java
+++ b/src/main/java/hazelspoke/gateway/HostClient.java
@@ -1,13 +1,12 @@
 package hazelspoke.gateway;
 
 import io.netty.bootstrap.Bootstrap;
+import io.netty.channel.Channel;
 import io.netty.channel.ChannelException;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
-import io.netty.channel.socket.SocketChannel;
-import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.EmptyHttpHeaders;
 import java.net.BindException;
 import java.net.InetSocketAddress;
@@ -29,6 +28,7 @@
   private static final long SWEEP_MS = 250;
 
   private final EventLoop loop;
+  private final Transport transport;
   private final Clock clock;
   private final Bootstrap bootstrap;
   private final double idleMs;
@@ -39,11 +39,13 @@
 
   HostClient(
       EventLoop loop,
+      Transport transport,
       Clock clock,
       ternscale.api.Settings.Limits limits,
       int mostConnections,
       ByteBudget answerBudget) {
     this.loop = loop;
+    this.transport = transport;
     this.clock = clock;
     this.mostConnections = mostConnections;
     this.answerBudget = answerBudget;
@@ -51,11 +53,10 @@
     bootstrap =
         new Bootstrap()
             .group(loop)
-            .channel(NioSocketChannel.class)
+            .channel(transport.client())
             .option(ChannelOption.ALLOCATOR, Buffers.ALLOCATOR)
             .option(ChannelOption.RECVBUF_ALLOCATOR, Buffers.reads())
             .option(ChannelOption.WRITE_BUFFER_WATER_MARK, Buffers.WATER_MARK)
-            .option(ChannelOption.TCP_NODELAY, true)
             .option(
                 ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) Math.max(1, limits.connectTimeoutMs()));
     loop.scheduleAtFixedRate(this::sweep, SWEEP_MS, SWEEP_MS, TimeUnit.MILLISECONDS);
@@ -228,14 +229,14 @@
           bootstrap
               .clone()
               .handler(
-                  new ChannelInitializer<SocketChannel>() {
+                  new ChannelInitializer<Channel>() {
                     @Override
-                    protected void initChannel(SocketChannel ch) {
+                    protected void initChannel(Channel ch) {
                       ticket.connection = new HostConnection(HostClient.this, Pool.this, ch);
                       ticket.connection.addTo(ch.pipeline());
                     }
                   })
-              .connect(address);
+              .connect(transport.calling().apply(address));
       connecting.addListener(
           done -> {
             if (done.isSuccess()) {
--- a/src/main/java/hazelspoke/gateway/Rehearsal.java
+++ b/src/main/java/hazelspoke/gateway/Rehearsal.java
@@ -53,11 +53,12 @@
       Path file = Files.createTempFile("rehearsal", ".json");
       try {
         Gateway first = start(file, 1, err);
-        InetSocketAddress host = first.start();
+        InetSocketAddress host = (InetSocketAddress) first.start();
         Gateway second = start(file, host.getPort(), err);
-        ask(second.start());
+        ask((InetSocketAddress) second.start());
         second.drain();
         first.drain();
+        warmUp(file, err);
       } finally {
         Files.delete(file);
       }
@@ -68,10 +69,17 @@
     }
   }
 
+  private static void warmUp(Path file, PrintStream err) throws ConfigException {
+    Map<String, String> environment = Map.of("NODE_CONFIG", file.toString());
+    new WarmUp(GatewayConfig.read(environment), environment)
+        .run(new Log(err, new Clock()), WarmUp.MOST_MS);
+  }
+
   private static Gateway start(Path file, int hostPort, PrintStream err)
       throws IOException, ConfigException {
     Files.writeString(file, CONFIG.formatted(hostPort));
-    return new Gateway(GatewayConfig.read(Map.of("NODE_CONFIG", file.toString())), err);
+    return new Gateway(
+        GatewayConfig.read(Map.of("NODE_CONFIG", file.toString())), err, Transport.TCP);
   }
 
   private static void ask(InetSocketAddress gateway) throws IOException {
--- /dev/null
+++ b/src/main/java/hazelspoke/gateway/Transport.java
@@ -0,0 +1,39 @@
+package hazelspoke.gateway;
+
+import io.netty.channel.Channel;
+import io.netty.channel.ServerChannel;
+import io.netty.channel.socket.nio.NioDomainSocketChannel;
+import io.netty.channel.socket.nio.NioServerDomainSocketChannel;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import java.net.SocketAddress;
+import java.net.UnixDomainSocketAddress;
+import java.nio.file.Path;
+import java.util.function.UnaryOperator;
+
+/**
+ * Of what make a gateway's sockets are, and where an address lies: at itself in service, in a file
+ * of its own while {@link WarmUp} plays. Delay-free sending and reuse of the address are what TCP
+ * has here unasked.
+ */
+record Transport(
+    Class<? extends ServerChannel> server,
+    Class<? extends Channel> client,
+    UnaryOperator<SocketAddress> listening,
+    UnaryOperator<SocketAddress> calling) {
+  static final Transport TCP =
+      new Transport(
+          NioServerSocketChannel.class,
+          NioSocketChannel.class,
+          UnaryOperator.identity(),
+          UnaryOperator.identity());
+
+  /** Sockets in the file system: whoever is called, it is the one that listens at {@code peer}. */
+  static Transport local(Path own, Path peer) {
+    return new Transport(
+        NioServerDomainSocketChannel.class,
+        NioDomainSocketChannel.class,
+        address -> UnixDomainSocketAddress.of(own),
+        address -> UnixDomainSocketAddress.of(peer));
+  }
+}
--- a/src/main/java/hazelspoke/gateway/WarmUp.java
+++ b/src/main/java/hazelspoke/gateway/WarmUp.java
@@ -1,148 +1,238 @@
 package hazelspoke.gateway;
 
+import io.netty.bootstrap.Bootstrap;
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
-import io.netty.channel.embedded.EmbeddedChannel;
-import io.netty.handler.codec.http.HttpRequest;
-import io.netty.handler.codec.http.HttpRequestEncoder;
-import io.netty.handler.codec.http.LastHttpContent;
-import io.netty.util.ReferenceCountUtil;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import java.io.IOException;
+import java.io.OutputStream;
+import java.io.PrintStream;
+import java.net.UnixDomainSocketAddress;
 import java.nio.charset.StandardCharsets;
-import java.util.List;
-import ternscale.api.Actions;
-import ternscale.api.Balancer;
-import ternscale.api.MembersUpdate;
-import ternscale.api.Outcome;
-import ternscale.api.RequestInfo;
-import ternscale.api.Settings;
-import ternscale.policy.LcStarBalancer;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.Map;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import ternscale.api.Settings.Effect;
 
 /**
- * Takes many requests through reading, deciding and writing before the first client comes, on no
- * socket and with a module of its own: code that runs for the first time takes many times the CPU,
- * and with half a core the first seconds of traffic would wait for it. A restart takes that much
- * longer, while others carry its share.
+ * Before the first client comes, a gateway like the one to be started serves clients of its own
+ * from a host of its own, over sockets in the file system. Code that runs for the first time takes
+ * many times the CPU, at the sockets most of all, and with part of a core the first seconds of
+ * traffic would pile up behind it: late requests are given up, and asked again over new
+ * connections, which are the dearest. It counts requests and not time, as code is compiled once it
+ * has run often enough, however slow the machine; the bound in time only keeps a very slow one from
+ * staying away for ever. It also takes the module through errors and second tries. It could hurt
+ * where a restart has nobody to carry its share meanwhile.
  */
 final class WarmUp {
-  private static final int MOST_REQUESTS = 4_000;
-  private static final double MOST_MS = 1_200;
+  private static final int REQUESTS = 300;
+
+  /** In service; see {@link #run}. */
+  static final long MOST_MS = 2_000;
+
+  private static final int CLIENTS = 8;
+
+  /** As often as this a client opens a new connection for its next request. */
+  private static final int REQUESTS_PER_CONNECTION = 3;
+
+  /**
+   * One answer in so many turns a request away, and as many err or break off; few eject no host.
+   */
+  private static final int TROUBLE_EVERY = 100;
+
+  private static final char LAST = '!';
+  private static final String BODY = "-".repeat(200) + LAST;
+  private static final String ANSWER = "\r\nContent-Length: " + BODY.length() + "\r\n\r\n" + BODY;
+
+  /** Ids are 32 hexadecimal digits long. */
+  private static final String ID = "0123456789abcdef0123456789";
 
   private final GatewayConfig config;
-  private final Clock clock = new Clock();
+  private final Path folder;
+  private final CountDownLatch left = new CountDownLatch(REQUESTS);
+  private int asked;
+  private int answered;
 
-  WarmUp(GatewayConfig config) {
+  WarmUp(GatewayConfig config, Map<String, String> environment) {
     this.config = config;
+    folder = Path.of(environment.getOrDefault("TMPDIR", System.getProperty("java.io.tmpdir")));
   }
 
-  /** Never keeps a gateway from starting: it is of use, not of need. */
-  void run(Log log) {
+  /**
+   * Never keeps a gateway from starting, nor for longer than this: it is of use, not of need.
+   *
+   * @return whether all requests were answered
+   */
+  boolean run(Log log, long mostMs) {
     try {
-      run();
-    } catch (RuntimeException e) {
+      // By its process and not by a random name, as such names take long to make.
+      Path own = Files.createDirectory(folder.resolve("warm-up-" + ProcessHandle.current().pid()));
+      try {
+        play(own.resolve("gateway"), own.resolve("host"), mostMs);
+      } finally {
+        Files.deleteIfExists(own.resolve("gateway"));
+        Files.deleteIfExists(own.resolve("host"));
+        Files.delete(own);
+      }
+    } catch (IOException | RuntimeException e) {
       log.failure("the warm-up failed", e);
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
     }
+    return left.getCount() == 0;
   }
 
-  private void run() {
-    NoActions chosen = new NoActions();
-    Balancer module = new LcStarBalancer(config.settings(), 1, clock.nowMs(), chosen);
-    module.onMembers(
-        clock.nowMs(),
-        new MembersUpdate(
-            MembersUpdate.Kind.CACHED,
-            1,
-            config.known().hosts().stream().map(HostList.Listed::entry).toList()));
-    EmbeddedChannel clients =
-        new EmbeddedChannel(new StrictRequestDecoder(Buffers.decoderConfig()));
-    EmbeddedChannel hosts =
-        new EmbeddedChannel(
-            new StrictResponseDecoder(Buffers.decoderConfig()), new HttpRequestEncoder());
-    double end = clock.nowMs() + MOST_MS;
-    for (int i = 0; i < MOST_REQUESTS && clock.nowMs() < end; i++) {
-      HttpRequest head = pass(clients, hosts, i % config.names().classes().size());
-      decide(module, chosen, head, i);
+  private void play(Path front, Path host, long mostMs) throws InterruptedException {
+    Transport transport = Transport.local(front, host);
+    EventLoopGroup peers = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    Gateway gateway =
+        new Gateway(config, new PrintStream(OutputStream.nullOutputStream()), transport);
+    try {
+      new ServerBootstrap()
+          .group(peers)
+          .channel(transport.server())
+          .childHandler(
+              new ChannelInitializer<Channel>() {
+                @Override
+                protected void initChannel(Channel ch) {
+                  ch.pipeline().addLast(new Host());
+                }
+              })
+          .bind(UnixDomainSocketAddress.of(host))
+          .syncUninterruptibly();
+      gateway.start();
+      Bootstrap clients =
+          new Bootstrap()
+              .group(peers)
+              .channel(transport.client())
+              .remoteAddress(UnixDomainSocketAddress.of(front));
+      for (int i = 0; i < CLIENTS; i++) {
+        connect(clients);
+      }
+      left.await(mostMs, TimeUnit.MILLISECONDS);
+    } finally {
+      peers.shutdownGracefully(0, 0, TimeUnit.MILLISECONDS).awaitUninterruptibly();
+      gateway.stop();
     }
-    clients.finishAndReleaseAll();
-    hosts.finishAndReleaseAll();
   }
 
-  /** A request in from a client and out to a host, and an answer in. */
-  private HttpRequest pass(EmbeddedChannel clients, EmbeddedChannel hosts, int requestClass) {
-    boolean keyed =
-        config.settings().classes().get(requestClass).effect() == Settings.Effect.BY_KEY;
-    String name = config.names().classes().get(requestClass);
-    clients.writeInbound(
-        bytes(
-            "POST /%s HTTP/1.1\r\nHost: x\r\nX-Lane: %s\r\nX-Txn: w\r\nX-Remaining: 0.5\r\n%s\r\n"
-                .formatted(name, name, keyed ? "Idempotency-Key: w\r\n" : "")));
-    HttpRequest request = clients.readInbound();
-    ReferenceCountUtil.release(clients.readInbound());
-    hosts.writeOutbound(request, LastHttpContent.EMPTY_LAST_CONTENT);
-    hosts.releaseOutbound();
-    hosts.writeInbound(bytes("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"));
-    hosts.releaseInbound();
-    return request;
+  private void connect(Bootstrap clients) {
+    clients
+        .clone()
+        .handler(
+            new ChannelInitializer<Channel>() {
+              @Override
+              protected void initChannel(Channel ch) {
+                ch.pipeline().addLast(new Client(clients));
+              }
+            })
+        .connect();
   }
 
-  private void decide(Balancer module, NoActions chosen, HttpRequest request, int number) {
-    double now = clock.nowMs();
-    String id = Integer.toString(number);
-    try {
-      RequestHead head = RequestHead.read(request, config.names(), config.settings());
-      chosen.host = null;
-      module.onRequest(
-          now,
-          new RequestInfo(
-              id, head.requestClass(), 0, now + head.remainingMs(), 10, "w", true, false));
-    } catch (BadRequestException e) {
-      // A class that is not asked for by POST.
-      return;
-    }
-    if (chosen.host != null) {
-      module.onOutcome(now, new Outcome(id, chosen.host, 0, Outcome.Result.OK, 1, true, List.of()));
+  private ByteBuf request() {
+    int c = asked % config.names().classes().size();
+    String name = config.names().classes().get(c);
+    Effect effect = config.settings().classes().get(c).effect();
+    boolean safe = effect == Effect.REPEATABLE;
+    StringBuilder text = new StringBuilder(safe ? "GET /" : "POST /");
+    text.append(name).append(" HTTP/1.1\r\nHost: warm-up\r\nX-Lane: ").append(name);
+    text.append("\r\nX-Txn: ").append(ID).append(asked);
+    text.append("\r\nX-Entity: ").append(asked % CLIENTS).append("\r\nX-Remaining: 9.000");
+    text.append("\r\nX-Estimate: ").append(1_000 + asked % TROUBLE_EVERY * 100);
+    if (effect == Effect.BY_KEY) {
+      text.append("\r\nIdempotency-Key: ").append(ID).append(asked);
     }
+    asked++;
+    text.append("\r\nContent-Length: ").append(safe ? 0 : BODY.length());
+    text.append("\r\n\r\n").append(safe ? "" : BODY);
+    return bytes(text.toString());
   }
 
-  private static Object bytes(String text) {
-    return Unpooled.copiedBuffer(text, StandardCharsets.US_ASCII);
+  private static ByteBuf bytes(String text) {
+    return Unpooled.wrappedBuffer(text.getBytes(StandardCharsets.US_ASCII));
   }
 
-  /** Does nothing that the module asks for, and notes where it would have sent. */
-  private static final class NoActions implements Actions {
-    private String host;
+  /**
+   * Whether these bytes end a message: its body's last byte or, where there is none, its head's.
+   * Plain and good enough here, where reading with care would cost what is to be saved.
+   */
+  private static boolean ends(Object message) {
+    ByteBuf bytes = (ByteBuf) message;
+    byte last = bytes.getByte(bytes.writerIndex() - 1);
+    bytes.release();
+    return last == LAST || last == '\n';
+  }
 
+  /** Either end; one that breaks has no more to say. */
+  private static class Peer extends ChannelInboundHandlerAdapter {
     @Override
-    public void send(String requestId, String to, double timeoutMs) {
-      host = to;
+    public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+      ctx.close();
     }
+  }
 
-    @Override
-    public void refuse(String requestId, double retryAfterMs) {}
-
-    @Override
-    public void fail(String requestId) {}
-
-    @Override
-    public void cancel(String requestId, int attempt) {}
-
-    @Override
-    public void probe(String to) {}
-
-    @Override
-    public void closeIdle(String to) {}
+  /** Asks one request after the other, and goes on over another connection after some. */
+  private final class Client extends Peer {
+    private final Bootstrap next;
+    private int requests;
 
-    @Override
-    public void setTimer(long timer, double delayMs) {}
+    Client(Bootstrap next) {
+      this.next = next;
+    }
 
     @Override
-    public void lookup() {}
+    public void channelActive(ChannelHandlerContext ctx) {
+      ctx.writeAndFlush(request());
+    }
 
     @Override
-    public void watch(boolean on) {}
+    public void channelRead(ChannelHandlerContext ctx, Object message) {
+      if (ends(message)) {
+        left.countDown();
+        if (++requests < REQUESTS_PER_CONNECTION) {
+          ctx.writeAndFlush(request());
+        } else {
+          ctx.close();
+        }
+      }
+    }
 
     @Override
-    public void tellPeer(int peer, String data) {}
+    public void channelInactive(ChannelHandlerContext ctx) {
+      if (left.getCount() > 0 && !next.config().group().isShuttingDown()) {
+        connect(next);
+      }
+    }
+  }
 
+  /** Answers at once, mostly well. */
+  private final class Host extends Peer {
     @Override
-    public void log(String line) {}
+    public void channelRead(ChannelHandlerContext ctx, Object message) {
+      if (!ends(message)) {
+        return;
+      }
+      int trouble = ++answered % TROUBLE_EVERY;
+      if (trouble == 0) {
+        ctx.close();
+        return;
+      }
+      String status =
+          switch (trouble) {
+            case 1 -> "503 no\r\nX-Turned-Away: 1";
+            case 2 -> "500 no";
+            default -> "200 OK";
+          };
+      ctx.writeAndFlush(bytes("HTTP/1.1 " + status + ANSWER));
+    }
   }
 }
--- a/src/main/java/ternscale/policy/LcStarBalancer.java
+++ b/src/main/java/ternscale/policy/LcStarBalancer.java
@@ -289,10 +289,9 @@
   }
 
   private static Pending.Attempt takeOut(Pending p, int number) {
-    for (Pending.Attempt a : p.out) {
-      if (a.number() == number) {
-        p.out.remove(a);
-        return a;
+    for (int i = 0; i < p.out.size(); i++) {
+      if (p.out.get(i).number() == number) {
+        return p.out.remove(i);
       }
     }
     return null;
--- a/src/test/java/hazelspoke/gateway/ChurnTest.java
+++ b/src/test/java/hazelspoke/gateway/ChurnTest.java
@@ -23,6 +23,7 @@
       HostClient hosts =
           new HostClient(
               group.next(),
+              Transport.TCP,
               new Clock(),
               new Settings.Limits(1, false, false, false, false, false, 0, 100, 1_000, 1),
               10,
--- a/src/test/java/hazelspoke/gateway/Rig.java
+++ b/src/test/java/hazelspoke/gateway/Rig.java
@@ -36,8 +36,9 @@
     environment = Map.of("NODE_CONFIG", file.toString());
     known = list(1, hosts);
     configure(config(sockets, discovery.address()));
-    gateway = new Gateway(GatewayConfig.read(environment), new PrintStream(log, true));
-    address = gateway.start();
+    gateway =
+        new Gateway(GatewayConfig.read(environment), new PrintStream(log, true), Transport.TCP);
+    address = (InetSocketAddress) gateway.start();
   }
 
   void configure(String text) throws IOException {
