Tell time lost in the gateway from queues at the hosts

Cause: in the seconds after a start half of what came was refused, for 3 s after the loop was in time again, by the level in Admission: elapsedMs of an outcome runs on while the answer lies unread (LcStarBalancer.onOutcome handed it on as the host's), and a request was dated from when it was read (Exchange.taken), so hopeless ones were sent.

LoopLag measures by a late timer how far the loop is behind. A request is dated back by what it waited and refused if it would wait as long again past its aim; an outcome says how much of its time the gateway itself lost, which is no host's, and says nothing of load where that is most of it.

--- a/src/main/java/hazelspoke/gateway/Dispatcher.java
+++ b/src/main/java/hazelspoke/gateway/Dispatcher.java
@@ -41,6 +41,7 @@
   private final Names names;
   private final int openCap;
   private final HostClient hosts;
+  private final LoopLag lag;
   private final Map<String, Exchange> exchanges = new HashMap<>();
 
   /** The clients' own ids of the requests that are owed an answer. */
@@ -60,6 +61,7 @@
     this.names = config.names();
     this.openCap = config.openCap();
     this.hosts = hosts;
+    lag = new LoopLag(loop, clock);
   }
 
   void start(Balancer module, DiscoveryClient client) {
@@ -136,7 +138,7 @@
   /** A client's request is whole. */
   void onRequest(Exchange x) {
     double now = clock.nowMs();
-    RequestInfo info = x.taken(Long.toString(taken++), now);
+    RequestInfo info = x.taken(Long.toString(taken++), now, lag.waitedMs());
     owed++;
     if (owed > openCap) {
       answer(x, HttpResponseStatus.SERVICE_UNAVAILABLE, 0);
@@ -275,6 +277,7 @@
     private final String host;
     private final int number;
     private final double startedAt;
+    private final double lostBefore = lag.lostMs();
     private HostClient.Ticket ticket;
     private ScheduledFuture<?> timeOut;
     private boolean over;
@@ -358,6 +361,7 @@
         exchanges.remove(x.id);
       }
       double elapsedMs = clock.nowMs() - startedAt;
+      double ownMs = lag.lostMs() - lostBefore;
       List<Double> report =
           headers != null && settings.reportMode() == Settings.ReportMode.WITH_ANSWERS
               ? names.report(headers.get(Headers.LOAD_REPORT, ""))
@@ -367,7 +371,7 @@
           () ->
               balancer.onOutcome(
                   clock.nowMs(),
-                  new Outcome(x.id, host, number, result, elapsedMs, x.ended, report)));
+                  new Outcome(x.id, host, number, result, elapsedMs, x.ended, report, ownMs)));
     }
   }
 
--- a/src/main/java/hazelspoke/gateway/Exchange.java
+++ b/src/main/java/hazelspoke/gateway/Exchange.java
@@ -48,10 +48,10 @@
     return head.effect() == Effect.ONCE;
   }
 
-  /** The request is whole: its time runs from now on. */
-  RequestInfo taken(String ownId, double now) {
+  /** The request is whole: its time has been running since it lay ready to be read. */
+  RequestInfo taken(String ownId, double now, double waitedMs) {
     id = ownId;
-    deadline = now + head.remainingMs();
+    deadline = now - waitedMs + head.remainingMs();
     HttpHeaders headers = head.request().headers();
     return new RequestInfo(
         id,
@@ -61,7 +61,8 @@
         head.costHint(),
         headers.get(Headers.KEY),
         !head.request().method().equals(HttpMethod.GET),
-        "1".equals(headers.get(Headers.RESENT)));
+        "1".equals(headers.get(Headers.RESENT)),
+        waitedMs);
   }
 
   /** The head for a host: all that the client sent for it, and how long an answer is awaited. */
--- a/src/main/java/hazelspoke/gateway/Gateway.java
+++ b/src/main/java/hazelspoke/gateway/Gateway.java
@@ -43,7 +43,7 @@
   private final GatewayConfig config;
   private final EventLoopGroup group =
       new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
-  private final EventLoop loop = group.next();
+  final EventLoop loop = group.next();
   private final Clock clock = new Clock();
   private final Log log;
   private final Transport transport;
--- a/src/main/java/ternscale/api/Outcome.java
+++ b/src/main/java/ternscale/api/Outcome.java
@@ -3,7 +3,10 @@
 import java.util.List;
 import java.util.Objects;
 
-/** How an attempt ended. {@code report} is empty when no load report came along. */
+/**
+ * How an attempt ended. {@code report} is empty when no load report came along; for {@code ownMs}
+ * of the time elapsed the gateway itself was behind, and not the host.
+ */
 public record Outcome(
     String requestId,
     String host,
@@ -11,7 +14,8 @@
     Result result,
     double elapsedMs,
     boolean requestEnded,
-    List<Double> report) {
+    List<Double> report,
+    double ownMs) {
   /** The ways in which an attempt or a probe can end. */
   public enum Result {
     OK(false),
@@ -35,6 +39,18 @@
     }
   }
 
+  /** One at a gateway that was never behind. */
+  public Outcome(
+      String requestId,
+      String host,
+      int attempt,
+      Result result,
+      double elapsedMs,
+      boolean requestEnded,
+      List<Double> report) {
+    this(requestId, host, attempt, result, elapsedMs, requestEnded, report, 0);
+  }
+
   public Outcome {
     Objects.requireNonNull(requestId, "requestId");
     Objects.requireNonNull(host, "host");
--- a/src/main/java/ternscale/api/RequestInfo.java
+++ b/src/main/java/ternscale/api/RequestInfo.java
@@ -5,7 +5,7 @@
 /**
  * A client request. {@code deadline} is the clock time at which the client gives this try up;
  * {@code costHint} is expected work in milliseconds on a standard core, 0 when there is none;
- * {@code key} may be null.
+ * {@code key} may be null; {@code waitedMs} is for how long it lay unread, which its time includes.
  */
 public record RequestInfo(
     String id,
@@ -15,7 +15,21 @@
     double costHint,
     String key,
     boolean write,
-    boolean clientRetry) {
+    boolean clientRetry,
+    double waitedMs) {
+  /** One that was read as soon as it came. */
+  public RequestInfo(
+      String id,
+      int requestClass,
+      int tenant,
+      double deadline,
+      double costHint,
+      String key,
+      boolean write,
+      boolean clientRetry) {
+    this(id, requestClass, tenant, deadline, costHint, key, write, clientRetry, 0);
+  }
+
   public RequestInfo {
     Objects.requireNonNull(id, "id");
     if (!Double.isFinite(deadline)) {
--- a/src/main/java/ternscale/policy/Admission.java
+++ b/src/main/java/ternscale/policy/Admission.java
@@ -187,9 +187,7 @@
   private double usual(int c, double elapsedMs, double now) {
     double part = Math.min(1, (now - usualAt[c]) / USUAL_SPAN_MS);
     usualAt[c] = now;
-    if (usual[c] == 0) {
-      usual[c] = elapsedMs;
-    }
+    usual[c] = usual[c] == 0 ? elapsedMs : usual[c];
     double toward = elapsedMs < usual[c] ? USUAL_QUANTILE - 1 : USUAL_QUANTILE;
     return usual[c] *= 1 + USUAL_STEP * part * toward;
   }
--- a/src/main/java/ternscale/policy/LcStarBalancer.java
+++ b/src/main/java/ternscale/policy/LcStarBalancer.java
@@ -120,10 +120,13 @@
     h.inFlight--;
     h.connectedAt = now;
     h.longs -= a.isLong() ? 1 : 0;
-    hosts.learn(h, p, a, outcome.result(), outcome.elapsedMs(), now);
-    boolean ofLoad = h.ejectedUntil <= now && h.rejections <= HostTable.EJECT_REJECTIONS;
+    double elapsedMs = outcome.elapsedMs() - outcome.ownMs();
+    hosts.learn(h, p, a, outcome.result(), elapsedMs, now);
+    // Where most of the time was lost in this process, it says nothing of the hosts.
+    boolean ofHosts = h.ejectedUntil <= now && elapsedMs >= outcome.ownMs();
+    boolean ofLoad = ofHosts && h.rejections <= HostTable.EJECT_REJECTIONS;
     if (!p.ended && !p.isLong && ofLoad) {
-      admission.onOutcome(p, outcome.result(), outcome.elapsedMs(), now);
+      admission.onOutcome(p, outcome.result(), elapsedMs, now);
     }
     if (outcome.result() == Outcome.Result.OK) {
       coldStart.onServed(h, p.work(), now);
@@ -223,10 +226,12 @@
     }
   }
 
-  /** Past this nothing is worth starting: the client leaves, or the answer would be worthless. */
+  /** Past this nothing is worth starting; what waited to be read waits as long to be answered. */
   private double giveUpAt(Pending p) {
     double last = p.info.deadline() - 2 * settings.tickMs();
-    return p.type.lateWorth() > 0 ? last : Math.min(last, p.aimAt() - settings.tickMs());
+    return p.type.lateWorth() > 0
+        ? last
+        : Math.min(last, p.aimAt() - settings.tickMs() - p.info.waitedMs());
   }
 
   /** The four rules, for one request and one host. */
@@ -309,9 +314,6 @@
         place(p, now);
       }
     }
-    if (!held.isEmpty()) {
-      setHoldTimer();
-    }
   }
 
   private void setHoldTimer() {
--- a/src/main/java/ternscale/policy/Pending.java
+++ b/src/main/java/ternscale/policy/Pending.java
@@ -27,10 +27,10 @@
 
   private double ranSentAt;
 
-  Pending(RequestInfo info, RequestClass type, double arrivedAt, boolean isLong) {
+  Pending(RequestInfo info, RequestClass type, double readAt, boolean isLong) {
     this.info = info;
     this.type = type;
-    this.arrivedAt = arrivedAt;
+    this.arrivedAt = readAt - info.waitedMs();
     this.isLong = isLong;
   }
 
--- /dev/null
+++ b/src/test/java/hazelspoke/gateway/LoopLagTest.java
@@ -0,0 +1,39 @@
+package hazelspoke.gateway;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.net.Socket;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Test;
+
+/** A gateway that is behind knows it. */
+class LoopLagTest {
+  /** Far longer than the request has, so that no turn of chance lets it seem in time. */
+  private static final long BEHIND_MS = 2_000;
+
+  @Test
+  void whatLayUnreadUntilItsTimeWasUpIsRefusedAtOnceAndNoHostHearsOfIt() throws Exception {
+    try (FakeServer host =
+            new FakeServer((head, out) -> FakeServer.answer(out, FakeServer.ok("good")));
+        FakeServer discovery = Rig.discovery(Rig.list(2, host));
+        Rig rig = new Rig(160, discovery, host);
+        Socket client = rig.connect()) {
+      Rig.send(client, Rig.dispatch(Rig.id(), ""));
+      assertThat(Rig.receive(client)).endsWith("good");
+      rig.gateway.loop.execute(LoopLagTest::block);
+      Rig.send(client, Rig.dispatch(Rig.id(), "").replace("20.0", "0.5"));
+      assertThat(Rig.receive(client)).startsWith("HTTP/1.1 503");
+      // Such a moment passes: what comes next has its whole time.
+      Rig.send(client, Rig.dispatch(Rig.id(), ""));
+      assertThat(Rig.receive(client)).endsWith("good");
+      assertThat(host.heads).hasSize(2);
+    }
+  }
+
+  private static void block() {
+    long end = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(BEHIND_MS);
+    while (System.nanoTime() < end) {
+      Thread.onSpinWait();
+    }
+  }
+}
--- a/src/test/java/ternscale/policy/DeparturesTest.java
+++ b/src/test/java/ternscale/policy/DeparturesTest.java
@@ -3,11 +3,13 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.util.HashSet;
+import java.util.List;
 import java.util.Set;
 import java.util.TreeMap;
 import org.junit.jupiter.api.Test;
 import ternscale.api.HostEntry.Availability;
 import ternscale.api.MembersUpdate.Kind;
+import ternscale.api.Outcome;
 import ternscale.api.Outcome.Result;
 import ternscale.api.RequestInfo;
 import ternscale.api.Settings;
@@ -358,6 +360,40 @@
     return g.refusals();
   }
 
+  /** Refusals while all answers come late, for so long of it by the gateway's own fault. */
+  private static long refusedWhileBehind(double ownMs) {
+    Gateway g = new Gateway(REPEATABLE, 3);
+    g.hosts(4);
+    for (int i = 0; i < 600; i++) {
+      g.now += 20;
+      int before = g.sent.size();
+      g.request(0, 10);
+      if (g.sent.size() > before) {
+        Gateway.Sent s = g.lastSent();
+        boolean late = i >= 200;
+        g.balancer.onOutcome(
+            g.now,
+            new Outcome(
+                s.request(),
+                s.host(),
+                s.attempt(),
+                Result.OK,
+                late ? 450 : 50,
+                true,
+                List.of(),
+                late ? ownMs : 0));
+      }
+    }
+    return g.refusals();
+  }
+
+  @Test
+  void timeLostInTheGatewayItselfIsNoSignOfQueuesAtTheHosts() {
+    assertThat(refusedWhileBehind(0)).isGreaterThan(100);
+    assertThat(refusedWhileBehind(200)).isGreaterThan(100);
+    assertThat(refusedWhileBehind(400)).isZero();
+  }
+
   @Test
   void lateAnswersRefuseLessWhereClientsDoNotRepeat() {
     long calm = refusedWhileSomeAreLate(false);
