Keep clients' connections to the end of a leave; warm up on one loop

Cause: at planned restarts 3 s apart both gateways are away for a moment, as the first is back 4.1 to 4.6 s after its SIGTERM (1.6 s before the program starts again). The one leaving closed each connection with its next answer (ClientConnection.responseHead, by isReady), so for its last 0.2 s nobody could use it. It now says 503 at /healthz and keeps connections until it takes nothing new; the leave ends as it did. It could hurt where all clients then come to one neighbour at once, whose own limits have to hold.

--- a/src/main/java/hazelspoke/gateway/ClientConnection.java
+++ b/src/main/java/hazelspoke/gateway/ClientConnection.java
@@ -261,7 +261,7 @@
   }
 
   private HttpResponse responseHead(HttpResponseStatus status, HttpHeaders headers) {
-    keepAlive &= server.isReady();
+    keepAlive &= !server.isLeaving();
     HttpResponse head = new DefaultHttpResponse(HttpVersion.HTTP_1_1, status);
     if (headers != null) {
       Headers.copyEndToEnd(headers, head.headers());
@@ -306,7 +306,7 @@
     }
     if (state == State.IN_HAND && !ahead.isEmpty()) {
       sentAhead();
-    } else if (state == State.IDLE && server.isDraining()) {
+    } else if (state == State.IDLE && server.isLeaving()) {
       closeGracefully();
     } else if (aheadBytes <= MOST_AHEAD_BYTES) {
       channel.config().setAutoRead(true);
--- a/src/main/java/hazelspoke/gateway/ClientServer.java
+++ b/src/main/java/hazelspoke/gateway/ClientServer.java
@@ -58,7 +58,7 @@
   private boolean makingRoom;
   private Channel listener;
   private boolean ready;
-  private boolean draining;
+  private boolean leaving;
 
   ClientServer(
       EventLoop loop,
@@ -195,8 +195,8 @@
     return ready;
   }
 
-  boolean isDraining() {
-    return draining;
+  boolean isLeaving() {
+    return leaving;
   }
 
   Exchange exchange(HttpRequest request, ClientConnection client) throws BadRequestException {
@@ -217,14 +217,17 @@
     dispatcher.onClientGone(exchange);
   }
 
-  /** From now on every answer is the last on its connection, and the gateway is unready. */
+  /**
+   * The gateway is unready, and goes on serving: who has a connection may use it to the end, as the
+   * others may be busy or away themselves. At the end all come to the others at once.
+   */
   void drain() {
     ready = false;
-    draining = true;
   }
 
-  /** Nothing new comes any more; what rests may go. */
+  /** Nothing new comes any more; what rests may go, and every answer is its connection's last. */
   void stopListening() {
+    leaving = true;
     listener.close();
     List.copyOf(byState.get(State.FRESH)).forEach(ClientConnection::closeGracefully);
     List.copyOf(byState.get(State.IDLE)).forEach(ClientConnection::closeGracefully);
--- a/src/main/java/hazelspoke/gateway/WarmUp.java
+++ b/src/main/java/hazelspoke/gateway/WarmUp.java
@@ -8,9 +8,6 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelInitializer;
-import io.netty.channel.EventLoopGroup;
-import io.netty.channel.MultiThreadIoEventLoopGroup;
-import io.netty.channel.nio.NioIoHandler;
 import java.io.IOException;
 import java.io.OutputStream;
 import java.io.PrintStream;
@@ -93,12 +90,11 @@
 
   private void play(Path front, Path host, long mostMs) throws InterruptedException {
     Transport transport = Transport.local(front, host);
-    EventLoopGroup peers = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
     Gateway gateway =
         new Gateway(config, new PrintStream(OutputStream.nullOutputStream()), transport);
     try {
       new ServerBootstrap()
-          .group(peers)
+          .group(gateway.loop)
           .channel(transport.server())
           .childHandler(
               new ChannelInitializer<Channel>() {
@@ -112,7 +108,7 @@
       gateway.start();
       Bootstrap clients =
           new Bootstrap()
-              .group(peers)
+              .group(gateway.loop)
               .channel(transport.client())
               .remoteAddress(UnixDomainSocketAddress.of(front));
       for (int i = 0; i < CLIENTS; i++) {
@@ -120,7 +116,6 @@
       }
       left.await(mostMs, TimeUnit.MILLISECONDS);
     } finally {
-      peers.shutdownGracefully(0, 0, TimeUnit.MILLISECONDS).awaitUninterruptibly();
       gateway.stop();
     }
   }
