--- a/src/main/java/hazelspoke/gateway/ClientServer.java
+++ b/src/main/java/hazelspoke/gateway/ClientServer.java
@@ -37,14 +37,6 @@
   /** A client that has not taken its answer for this long does not want it. */
   private static final double WRITING_MS = 3_000;
 
-  /**
-   * No more than this part of the descriptors is for connections at rest; then the longest at rest
-   * gives way. Clients may hold a third for requests, and those that ask once and keep theirs for
-   * good would leave the others none. It also holds off crowds that reconnect; it could hurt where
-   * very many clients ask seldom, who then connect anew each time.
-   */
-  private static final int RESTING_PART = 6;
-
   /** A new connection is given this long to say something before another may take its place. */
   private static final double FRESH_MS = 10;
 
@@ -58,7 +50,6 @@
   private final Dispatcher dispatcher;
   private final ByteBudget bodyBudget;
   private final int mostConnections;
-  private final int mostResting;
 
   /** All connections by what they are at, the longest so first. */
   private final Map<State, Set<ClientConnection>> byState = new EnumMap<>(State.class);
@@ -81,7 +72,6 @@
     this.dispatcher = dispatcher;
     this.bodyBudget = bodyBudget;
     this.mostConnections = Math.max(1, mostConnections - ACCEPTED_AT_ONCE);
-    mostResting = Math.max(1, config.sockets() / RESTING_PART);
     for (State state : State.values()) {
       byState.put(state, new LinkedHashSet<>());
     }
@@ -171,10 +161,6 @@
     if (byState.get(before).remove(connection)) {
       byState.get(connection.state()).add(connection);
     }
-    Set<ClientConnection> resting = byState.get(State.IDLE);
-    if (resting.size() > mostResting) {
-      resting.iterator().next().closeGracefully();
-    }
   }
 
   void closed(ClientConnection connection) {
