Call the run for the class archive archive, not rehearse

Need: `rehearse` is to be the command with which operators practise an incident. Change: the command, its class (ClassArchive) and the call in deploy/build.sh have another name; nothing behaves differently.

--- a/deploy/build.sh
+++ b/deploy/build.sh
@@ -6,4 +6,4 @@
 mvn -q -B -ntp -DskipTests package
 java -XX:+UseSerialGC -XX:TieredStopAtLevel=1 -Dio.netty.jfr.enabled=false \
   -XX:ArchiveClassesAtExit=target/hazelspoke.jsa \
-  -jar target/hazelspoke.jar rehearse >target/rehearsal.log 2>&1 || true
+  -jar target/hazelspoke.jar archive >target/archive.log 2>&1 || true
--- a/src/main/java/hazelspoke/Main.java
+++ b/src/main/java/hazelspoke/Main.java
@@ -1,19 +1,19 @@
 package hazelspoke;
 
+import hazelspoke.gateway.ClassArchive;
 import hazelspoke.gateway.Gateway;
-import hazelspoke.gateway.Rehearsal;
 import java.util.Map;
 
 /** The command line. */
 public final class Main {
   private static final String USAGE =
       """
-      usage: java -jar hazelspoke.jar serve | adapter | rehearse
+      usage: java -jar hazelspoke.jar serve | adapter | archive
 
       serve     run one gateway, as the file that NODE_CONFIG names tells it
       adapter   decide for the instances whose events arrive on standard input,
                 writing their actions to standard output until the input ends
-      rehearse  run two gateways for a moment, at build time; see deploy/build.sh
+      archive   run two gateways for a moment, at build time; see deploy/build.sh
       """;
 
   private Main() {}
@@ -37,8 +37,8 @@
         ternscale.adapter.Main.main(args);
         return 0;
       }
-      case "rehearse" -> {
-        return Rehearsal.run(System.err);
+      case "archive" -> {
+        return ClassArchive.run(System.err);
       }
       case "--help" -> {
         System.out.print(USAGE);
--- a/src/main/java/hazelspoke/gateway/Rehearsal.java
+++ b/src/main/java/hazelspoke/gateway/ClassArchive.java
@@ -15,12 +15,12 @@
  * core, loading them anew takes the first second of traffic. The gateway is its own client and its
  * own host, all on loopback; that its answers are refusals does not matter.
  */
-public final class Rehearsal {
+public final class ClassArchive {
   private static final int REQUESTS = 5;
 
   private static final String CONFIG =
       """
-      {"name":"rehearsal","listen":"127.0.0.1:0","discovery":"127.0.0.1:1","seed":"1",
+      {"name":"archive","listen":"127.0.0.1:0","discovery":"127.0.0.1:1","seed":"1",
        "known":{"index":1,"snapshot":true,"endpoints":[{"name":"self","address":"127.0.0.1:%d",
         "zone":"a","type":"k","group":0,"status":"Ready","weight":1.0,"since_ms":0}]},
        "settings":{"areas":["a"],"kinds":["k"],"discovery":"on_request","quantum":1,
@@ -45,12 +45,12 @@
       \r
       abc""";
 
-  private Rehearsal() {}
+  private ClassArchive() {}
 
   /** Runs it; returns 1 if it could not be done. */
   public static int run(PrintStream err) {
     try {
-      Path file = Files.createTempFile("rehearsal", ".json");
+      Path file = Files.createTempFile("archive", ".json");
       try {
         Gateway first = start(file, 1, err);
         InetSocketAddress host = (InetSocketAddress) first.start();
@@ -64,7 +64,7 @@
       }
       return 0;
     } catch (IOException | ConfigException | IllegalStateException e) {
-      err.println("hazelspoke: the rehearsal failed: " + e.getMessage());
+      err.println("hazelspoke: the run for the archive failed: " + e.getMessage());
       return 1;
     }
   }
--- a/src/test/java/hazelspoke/gateway/RehearsalTest.java
+++ b/src/test/java/hazelspoke/gateway/ClassArchiveTest.java
@@ -7,11 +7,11 @@
 import org.junit.jupiter.api.Test;
 
 /** What the build runs to learn which classes a gateway loads. */
-class RehearsalTest {
+class ClassArchiveTest {
   @Test
   void itRunsThroughAndEnds() {
     ByteArrayOutputStream err = new ByteArrayOutputStream();
-    assertThat(Rehearsal.run(new PrintStream(err, true))).isZero();
+    assertThat(ClassArchive.run(new PrintStream(err, true))).isZero();
     assertThat(err.toString()).contains("taking leave");
   }
 
