--- /dev/null
+++ b/src/main/java/hazelspoke/emulator/judge/Judge.java
@@ -0,0 +1,224 @@
+package hazelspoke.emulator.judge;
+
+import hazelspoke.emulator.judge.Ledger.Attempt;
+import hazelspoke.emulator.judge.Ledger.AttemptEnd;
+import hazelspoke.emulator.judge.Ledger.Told;
+import hazelspoke.emulator.judge.Ledger.Try;
+import hazelspoke.emulator.judge.Ledger.TryEnd;
+import hazelspoke.emulator.script.Script;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Locale;
+
+/**
+ * Reads the ledger by the rules: a function of what clients and hosts saw, with no view into any
+ * gateway. Every time limit is longer by the script's slack, for what sockets and schedulers take.
+ */
+public final class Judge {
+  /** After its client's deadline an answer is still in time for this long. */
+  static final double ANSWER_GRACE_MS = 20;
+
+  /** After it was told, a gateway may go on sending to a leaving host for this long. */
+  static final double DRAIN_GRACE_MS = 1_000;
+
+  static final int MOST_ATTEMPTS = 5;
+
+  /** A fall counts against the gateways when this part of the work came from ones that knew. */
+  static final double KNOWING_SHARE = 2.0 / 3;
+
+  private final Script script;
+  private final Ledger ledger;
+  private final double slackMs;
+  private final List<Breach> breaches = new ArrayList<>();
+
+  private Judge(Script script, Ledger ledger) {
+    this.script = script;
+    this.ledger = ledger;
+    slackMs = script.judge().slackMs();
+  }
+
+  /** All breaches, in the order of their times. */
+  public static List<Breach> judge(Script script, Ledger ledger) {
+    Judge judge = new Judge(script, ledger);
+    for (Try t : ledger.tries()) {
+      judge.tryOf(t);
+    }
+    for (String txn : ledger.unknown()) {
+      Attempt first = ledger.attempts(txn).get(0);
+      judge.breaches.add(
+          new Breach(
+              Rule.LOST, first.receivedAt, txn, "no client ever sent this request", List.of()));
+    }
+    for (Ledger.Fall fall : ledger.falls()) {
+      if (fall.toldShare() >= KNOWING_SHARE) {
+        judge.breaches.add(
+            new Breach(
+                Rule.COLD,
+                fall.at(),
+                fall.host(),
+                "a cold host was pushed over",
+                List.of(
+                    String.format(
+                        Locale.ROOT,
+                        "%.0f %% of the work came from gateways that had been told of its start",
+                        100 * fall.toldShare()))));
+      }
+    }
+    judge.breaches.sort(Comparator.comparingDouble(Breach::atMs));
+    return List.copyOf(judge.breaches);
+  }
+
+  /** The time up to which an answer to a try is no breach. */
+  public static double lastMoment(double deadline, double slackMs) {
+    return deadline + ANSWER_GRACE_MS + slackMs;
+  }
+
+  private void tryOf(Try t) {
+    List<Attempt> attempts = new ArrayList<>(ledger.attempts(t.txn));
+    attempts.sort(Comparator.comparingDouble(a -> a.receivedAt));
+    boolean excused = wasOut(t);
+    if (!excused) {
+      lost(t, attempts);
+    }
+    twice(t, attempts);
+    drain(t, attempts);
+    if (attempts.size() > MOST_ATTEMPTS) {
+      breach(Rule.ATTEMPTS, t, attempts, attempts.size() + " attempts");
+    }
+  }
+
+  /** Whether the gateway was down at some moment while it had the request. */
+  private boolean wasOut(Try t) {
+    double from = Double.isNaN(t.sentAt) ? Double.NEGATIVE_INFINITY : t.sentAt;
+    double to = Double.isNaN(t.endedAt) ? Double.POSITIVE_INFINITY : t.endedAt;
+    return ledger.outages().stream()
+        .anyMatch(o -> o.gateway() == t.gateway && o.from() <= to + slackMs && from <= o.to());
+  }
+
+  private void lost(Try t, List<Attempt> attempts) {
+    if (t.answeredTwice) {
+      breach(Rule.LOST, t, attempts, "more than one answer");
+    }
+    switch (t.end) {
+      case ANSWERED -> {
+        if (t.served() && !isGenuine(t, attempts)) {
+          breach(Rule.LOST, t, attempts, "served with what no host made for it");
+        } else if (t.endedAt > lastMoment(t.deadline, slackMs)) {
+          breach(Rule.LOST, t, attempts, "answered after its client's deadline");
+        }
+      }
+      case SILENT -> breach(Rule.LOST, t, attempts, "no answer");
+      case CLOSED -> {
+        // One that crossed the close, or that a fresh connection had nothing sent on for, has
+        // failed and may be asked again.
+        if (!attempts.isEmpty()) {
+          breach(Rule.LOST, t, attempts, "the connection ended without an answer");
+        }
+      }
+      default -> {
+        // Truncated: failed, and the client can tell. Unreachable: never taken.
+      }
+    }
+    double end = Double.isNaN(t.endedAt) ? Double.POSITIVE_INFINITY : t.endedAt;
+    for (Attempt a : attempts) {
+      if (a.earliest > end + slackMs) {
+        breach(Rule.LOST, t, attempts, "sent to " + a.host + " after its end");
+        return;
+      }
+    }
+  }
+
+  private static boolean isGenuine(Try t, List<Attempt> attempts) {
+    return attempts.stream().anyMatch(a -> a.host.equals(t.maker) && a.end == AttemptEnd.SERVED);
+  }
+
+  private void twice(Try t, List<Attempt> attempts) {
+    Script.RequestClass type = script.classes().get(t.requestClass);
+    if (type.effect() == Script.Effect.REPEATABLE) {
+      return;
+    }
+    Attempt ran = null;
+    for (Attempt a : attempts) {
+      if (ran != null && type.effect() == Script.Effect.ONCE) {
+        breach(Rule.TWICE, t, attempts, "sent to " + a.host + " when it may have run");
+        return;
+      }
+      if (ran != null && a.group != ran.group) {
+        breach(Rule.TWICE, t, attempts, "sent to another group when it may have run");
+        return;
+      }
+      if (ran != null && a.earliest - ran.receivedAt > type.windowMs() + slackMs) {
+        breach(Rule.TWICE, t, attempts, "sent again after the window");
+        return;
+      }
+      if (ran == null && !a.neverRan(next(attempts, a, t))) {
+        ran = a;
+      }
+    }
+    if (t.refused() && ran != null && ran.earliest <= t.endedAt) {
+      breach(Rule.TWICE, t, attempts, "refused when it may have run");
+    }
+  }
+
+  /** When the attempt after this one came, or the client's answer where none did. */
+  private static double next(List<Attempt> attempts, Attempt a, Try t) {
+    int i = attempts.indexOf(a);
+    if (i + 1 < attempts.size()) {
+      return attempts.get(i + 1).receivedAt;
+    }
+    return Double.isNaN(t.endedAt) ? Double.POSITIVE_INFINITY : t.endedAt;
+  }
+
+  private void drain(Try t, List<Attempt> attempts) {
+    for (Attempt a : attempts) {
+      Told last = null;
+      for (Told told : ledger.told(t.gateway, a.host)) {
+        if (told.at() <= a.earliest && (last == null || last.ready() || told.ready())) {
+          last = told;
+        }
+      }
+      if (last != null && !last.ready() && a.earliest > last.at() + DRAIN_GRACE_MS + slackMs) {
+        breach(
+            Rule.DRAIN,
+            t,
+            attempts,
+            String.format(
+                Locale.ROOT,
+                "sent to %s %.0f ms after it was told",
+                a.host,
+                a.earliest - last.at()));
+        return;
+      }
+    }
+  }
+
+  private void breach(Rule rule, Try t, List<Attempt> attempts, String what) {
+    List<String> details = new ArrayList<>();
+    details.add(
+        String.format(
+            Locale.ROOT,
+            "%s, asked of g%d: sent %.0f ms, deadline %.0f ms, %s %.0f ms%s",
+            script.classes().get(t.requestClass).name(),
+            t.gateway + 1,
+            t.sentAt,
+            t.deadline,
+            t.end == TryEnd.ANSWERED
+                ? "answered " + t.status
+                : t.end.name().toLowerCase(Locale.ROOT),
+            t.endedAt,
+            t.freshConnection ? ", first on its connection" : ""));
+    for (Attempt a : attempts) {
+      details.add(
+          String.format(
+              Locale.ROOT,
+              "at %s: came %.0f ms, %s %.0f ms",
+              a.host,
+              a.receivedAt,
+              a.end == AttemptEnd.OPEN ? "never ended" : a.end.name().toLowerCase(Locale.ROOT),
+              a.endedAt));
+    }
+    double at = Double.isNaN(t.endedAt) ? t.deadline : t.endedAt;
+    breaches.add(new Breach(rule, at, t.txn, what, details));
+  }
+}
--- /dev/null
+++ b/src/main/java/hazelspoke/emulator/model/Outcome.java
@@ -0,0 +1,15 @@
+package hazelspoke.emulator.model;
+
+/**
+ * What became of one request over all its tries.
+ *
+ * @param latencyMs from the planned moment of asking, however late the asking itself was
+ */
+public record Outcome(Arrival arrival, int tries, Fate fate, double latencyMs) {
+  /** How a request can end for its client. */
+  public enum Fate {
+    SERVED,
+    REFUSED,
+    FAILED
+  }
+}
--- /dev/null
+++ b/src/main/java/hazelspoke/emulator/model/World.java
@@ -0,0 +1,139 @@
+package hazelspoke.emulator.model;
+
+import hazelspoke.emulator.script.Fault;
+import hazelspoke.emulator.script.Script;
+import java.nio.charset.StandardCharsets;
+import java.security.MessageDigest;
+import java.security.NoSuchAlgorithmException;
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.HexFormat;
+import java.util.List;
+import java.util.SplittableRandom;
+
+/**
+ * All that a script and a seed fix before anything starts: the hosts, every request that will be
+ * asked, and which hosts and gateways each fault strikes. Two worlds of one script and seed are the
+ * same, and their digests say so.
+ *
+ * @param gatewaySites the site of each gateway, by its number
+ * @param struck the names of what each fault strikes, in the order of the script
+ */
+public record World(
+    Script script,
+    long seed,
+    List<ServerSpec> servers,
+    List<Integer> gatewaySites,
+    List<Arrival> arrivals,
+    List<List<String>> struck,
+    String digest) {
+
+  /** Draws the world of a script. */
+  public static World draw(Script script, long seed) {
+    List<ServerSpec> servers = servers(script, seed);
+    List<Integer> gatewaySites = new ArrayList<>();
+    for (int i = 0; i < script.fleet().gateways(); i++) {
+      gatewaySites.add(i % script.fleet().sites().size());
+    }
+    List<Arrival> arrivals = new Workload(script, seed).draw();
+    List<List<String>> struck = new ArrayList<>();
+    SplittableRandom random = Draws.stream(seed, "faults");
+    for (Fault fault : script.faults()) {
+      struck.add(struck(fault, script, servers, gatewaySites, random));
+    }
+    String digest = digest(servers, arrivals, script.faults(), struck);
+    return new World(
+        script, seed, servers, List.copyOf(gatewaySites), arrivals, List.copyOf(struck), digest);
+  }
+
+  private static List<ServerSpec> servers(Script script, long seed) {
+    Script.Fleet fleet = script.fleet();
+    SplittableRandom random = Draws.stream(seed, "servers");
+    double warmGain = Draws.between(random, 0.25, 0.7);
+    double warmMs = Draws.between(random, 3_900, 12_000);
+    double all = fleet.large() + fleet.medium() + fleet.small();
+    List<String> kinds = new ArrayList<>();
+    for (int i = 0; i < fleet.servers(); i++) {
+      double place = (i + 0.5) / fleet.servers() * all;
+      kinds.add(
+          place < fleet.large()
+              ? "large"
+              : place < fleet.large() + fleet.medium() ? "medium" : "small");
+    }
+    // Fisher and Yates: which host is of which kind is chance, how many are is not.
+    for (int i = kinds.size() - 1; i > 0; i--) {
+      Collections.swap(kinds, i, random.nextInt(i + 1));
+    }
+    List<ServerSpec> out = new ArrayList<>();
+    for (int i = 0; i < kinds.size(); i++) {
+      int site = i % fleet.sites().size();
+      out.add(
+          ServerSpec.draw(
+              "s" + (i + 1), site, kinds.get(i), site, warmGain, warmMs, random.split()));
+    }
+    return List.copyOf(out);
+  }
+
+  private static List<String> struck(
+      Fault fault,
+      Script script,
+      List<ServerSpec> servers,
+      List<Integer> gatewaySites,
+      SplittableRandom random) {
+    Fault.Target target = fault.target();
+    int site = target.site() == null ? -1 : script.fleet().sites().indexOf(target.site());
+    List<String> out = new ArrayList<>();
+    switch (fault.kind().subject()) {
+      case HOSTS -> {
+        if (!target.names().isEmpty()) {
+          return target.names();
+        }
+        boolean bySignal = fault.kind() == Fault.Kind.CRASH || fault.kind() == Fault.Kind.FREEZE;
+        for (ServerSpec s : servers) {
+          if ((bySignal || !script.fleet().apart().contains(s.name()))
+              && (site < 0 || s.site() == site)
+              && (target.kind() == null || s.kind().equals(target.kind()))) {
+            out.add(s.name());
+          }
+        }
+        int wanted = (int) Math.ceil(target.share() * out.size() - 1e-9);
+        while (out.size() > wanted) {
+          out.remove(random.nextInt(out.size()));
+        }
+      }
+      case SITE -> {
+        servers.stream()
+            .filter(s -> s.site() == site && !script.fleet().apart().contains(s.name()))
+            .forEach(s -> out.add(s.name()));
+        for (int i = 0; i < gatewaySites.size(); i++) {
+          if (gatewaySites.get(i) == site) {
+            out.add("g" + (i + 1));
+          }
+        }
+      }
+      case GATEWAYS -> out.addAll(target.names());
+      default -> {
+        // Strikes nobody by name.
+      }
+    }
+    return List.copyOf(out);
+  }
+
+  private static String digest(
+      List<ServerSpec> servers,
+      List<Arrival> arrivals,
+      List<Fault> faults,
+      List<List<String>> struck) {
+    try {
+      MessageDigest sha = MessageDigest.getInstance("SHA-256");
+      for (List<?> part : List.of(servers, arrivals, faults, struck)) {
+        for (Object item : part) {
+          sha.update(item.toString().getBytes(StandardCharsets.UTF_8));
+        }
+      }
+      return HexFormat.of().formatHex(sha.digest()).substring(0, 16);
+    } catch (NoSuchAlgorithmException e) {
+      throw new IllegalStateException("every Java has SHA-256", e);
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/hazelspoke/emulator/net/Wire.java
@@ -0,0 +1,82 @@
+package hazelspoke.emulator.net;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelOption;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpVersion;
+import java.nio.charset.StandardCharsets;
+import java.util.Locale;
+
+/** The names and forms of the protocol, as clients and hosts use them. */
+public final class Wire {
+  public static final String TXN = "X-Txn";
+  public static final String CLASS = "X-Lane";
+  public static final String KEY = "X-Entity";
+  public static final String REMAINING = "X-Remaining";
+  public static final String HINT = "X-Estimate";
+  public static final String IDEMPOTENCY_KEY = "Idempotency-Key";
+  static final String TURNED_AWAY = "X-Turned-Away";
+
+  /** The longest body of a request or an answer. */
+  static final int MOST_BODY = 65_536;
+
+  private static final int ANSWER_CHARS = 180;
+
+  private Wire() {}
+
+  /** The body of a request: what it costs and which it is, for the host, and some ballast. */
+  public static String requestBody(int number, double workMs) {
+    return String.format(Locale.ROOT, "order=%d work_ms=%.6f;", number, workMs) + "-".repeat(120);
+  }
+
+  /** A figure of a request's body; NaN where it has none. */
+  static double figure(String body, String name) {
+    for (String part : body.split("[ ;]", 3)) {
+      if (part.startsWith(name + "=")) {
+        try {
+          return Double.parseDouble(part.substring(name.length() + 1));
+        } catch (NumberFormatException e) {
+          return Double.NaN;
+        }
+      }
+    }
+    return Double.NaN;
+  }
+
+  /** The one body that a host makes for a request. */
+  public static String answerBody(String txn, String host) {
+    String text = "served " + txn + " at " + host + ";";
+    return text + "=".repeat(Math.max(0, ANSWER_CHARS - text.length()));
+  }
+
+  /** The host that made this answer for this request; null where none can have. */
+  public static String maker(String txn, String body) {
+    String start = "served " + txn + " at ";
+    int end = body.indexOf(';');
+    if (!body.startsWith(start) || end < start.length()) {
+      return null;
+    }
+    String host = body.substring(start.length(), end);
+    return answerBody(txn, host).equals(body) ? host : null;
+  }
+
+  static FullHttpResponse answer(HttpResponseStatus status, String body) {
+    ByteBuf bytes = Unpooled.copiedBuffer(body, StandardCharsets.UTF_8);
+    FullHttpResponse response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status, bytes);
+    response.headers().set(HttpHeaderNames.CONTENT_LENGTH, bytes.readableBytes());
+    return response;
+  }
+
+  /** Ends a connection as the death of a process does. */
+  static void reset(Channel channel) {
+    if (channel.isOpen()) {
+      channel.config().setOption(ChannelOption.SO_LINGER, 0);
+      channel.close();
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/hazelspoke/emulator/report/JsonReport.java
@@ -0,0 +1,153 @@
+package hazelspoke.emulator.report;
+
+import com.fasterxml.jackson.core.JsonFactory;
+import com.fasterxml.jackson.core.JsonGenerator;
+import hazelspoke.emulator.judge.Breach;
+import hazelspoke.emulator.judge.Rule;
+import java.io.IOException;
+import java.io.StringWriter;
+import java.util.Map;
+
+/** The results as JSON, for programs; see the operators' page for its fields. */
+public final class JsonReport {
+  private static final int MOST_BREACHES = 200;
+
+  private JsonReport() {}
+
+  public static String write(Results r) throws IOException {
+    StringWriter out = new StringWriter();
+    try (JsonGenerator g = new JsonFactory().createGenerator(out)) {
+      g.useDefaultPrettyPrinter();
+      g.writeStartObject();
+      g.writeStringField("title", r.script().title());
+      g.writeNumberField("seed", r.seed());
+      g.writeStringField("digest", r.digest());
+      g.writeBooleanField("late", r.late().ranLate());
+      g.writeObjectFieldStart("lateness");
+      number(g, "arrivals_p99_ms", r.late().arrivalsP99());
+      number(g, "arrivals_max_ms", r.late().arrivalsMax());
+      number(g, "loop_p99_ms", r.late().loopP99());
+      number(g, "loop_max_ms", r.late().loopMax());
+      g.writeEndObject();
+      g.writeObjectFieldStart("rules");
+      for (Map.Entry<Rule, Integer> e : r.rules().entrySet()) {
+        g.writeNumberField(e.getKey().word(), e.getValue());
+      }
+      g.writeEndObject();
+      g.writeNumberField("crashes", r.crashes());
+      g.writeNumberField("attempts", r.attempts());
+      g.writeNumberField("repeats", r.repeats());
+      classes(g, r);
+      gateways(g, r);
+      windows(g, r);
+      faults(g, r);
+      breaches(g, r);
+      g.writeEndObject();
+    }
+    return out.append('\n').toString();
+  }
+
+  private static void classes(JsonGenerator g, Results r) throws IOException {
+    g.writeObjectFieldStart("classes");
+    for (Map.Entry<String, Results.ClassResult> e : r.classes().entrySet()) {
+      Results.ClassResult c = e.getValue();
+      g.writeObjectFieldStart(e.getKey());
+      g.writeNumberField("asked", c.asked());
+      g.writeNumberField("served", c.served());
+      g.writeNumberField("in_time", c.inTime());
+      g.writeNumberField("refused", c.refused());
+      g.writeNumberField("failed", c.failed());
+      number(g, "p50_ms", c.p50Ms());
+      number(g, "p95_ms", c.p95Ms());
+      number(g, "p99_ms", c.p99Ms());
+      g.writeEndObject();
+    }
+    g.writeEndObject();
+  }
+
+  private static void gateways(JsonGenerator g, Results r) throws IOException {
+    g.writeArrayFieldStart("gateways");
+    for (Results.GatewayResult gateway : r.gateways()) {
+      g.writeStartObject();
+      g.writeStringField("name", gateway.name());
+      g.writeStringField("site", gateway.site());
+      g.writeNumberField("asked", gateway.asked());
+      g.writeNumberField("answered", gateway.answered());
+      numbers(g, "cpu", gateway.cpu());
+      numbers(g, "memory_mb", gateway.memoryMb());
+      numbers(g, "descriptors", gateway.descriptors());
+      g.writeEndObject();
+    }
+    g.writeEndArray();
+  }
+
+  private static void windows(JsonGenerator g, Results r) throws IOException {
+    g.writeArrayFieldStart("windows");
+    for (Results.Window w : r.windows()) {
+      g.writeStartObject();
+      number(g, "from_s", w.fromMs() / 1_000);
+      g.writeNumberField("asked", w.asked());
+      g.writeNumberField("in_time", w.inTime());
+      g.writeNumberField("late", w.late());
+      g.writeNumberField("refused", w.refused());
+      g.writeNumberField("failed", w.failed());
+      g.writeNumberField("tries", w.tries());
+      number(g, "p50_ms", w.p50Ms());
+      number(g, "p99_ms", w.p99Ms());
+      g.writeEndObject();
+    }
+    g.writeEndArray();
+  }
+
+  private static void faults(JsonGenerator g, Results r) throws IOException {
+    g.writeArrayFieldStart("faults");
+    for (Results.FaultNote f : r.faults()) {
+      g.writeStartObject();
+      number(g, "at_s", f.atMs() / 1_000);
+      number(g, "end_s", f.endMs() / 1_000);
+      g.writeStringField("what", f.what());
+      g.writeEndObject();
+    }
+    g.writeEndArray();
+  }
+
+  private static void breaches(JsonGenerator g, Results r) throws IOException {
+    g.writeArrayFieldStart("breaches");
+    for (Breach b : r.breaches().stream().limit(MOST_BREACHES).toList()) {
+      g.writeStartObject();
+      g.writeStringField("rule", b.rule().word());
+      number(g, "at_ms", b.atMs());
+      g.writeStringField("txn", b.txn());
+      g.writeStringField("what", b.what());
+      g.writeArrayFieldStart("details");
+      for (String detail : b.details()) {
+        g.writeString(detail);
+      }
+      g.writeEndArray();
+      g.writeEndObject();
+    }
+    g.writeEndArray();
+  }
+
+  private static void numbers(JsonGenerator g, String name, double[] values) throws IOException {
+    g.writeArrayFieldStart(name);
+    for (double value : values) {
+      number(g, value);
+    }
+    g.writeEndArray();
+  }
+
+  private static void number(JsonGenerator g, String name, double value) throws IOException {
+    g.writeFieldName(name);
+    number(g, value);
+  }
+
+  /** To the thousandth; what is no number is null. */
+  private static void number(JsonGenerator g, double value) throws IOException {
+    if (Double.isFinite(value)) {
+      g.writeNumber(Math.round(value * 1_000) / 1_000.0);
+    } else {
+      g.writeNull();
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/hazelspoke/emulator/report/Results.java
@@ -0,0 +1,96 @@
+package hazelspoke.emulator.report;
+
+import hazelspoke.emulator.judge.Breach;
+import hazelspoke.emulator.judge.Rule;
+import hazelspoke.emulator.script.Script;
+import java.util.EnumMap;
+import java.util.List;
+import java.util.Map;
+
+/**
+ * What a rehearsal came to. Times are in milliseconds since the start of the load.
+ *
+ * @param digest of all that was fixed before the start
+ * @param crashes gateways that ended by themselves
+ * @param hosts the names in the order of {@code queues}
+ * @param queues a row a second: what each host held, -1 where it was down or is not known
+ */
+public record Results(
+    Script script,
+    long seed,
+    String digest,
+    List<Window> windows,
+    Map<String, ClassResult> classes,
+    List<Breach> breaches,
+    int crashes,
+    Late late,
+    List<GatewayResult> gateways,
+    List<FaultNote> faults,
+    List<String> hosts,
+    List<int[]> queues,
+    long attempts,
+    long repeats) {
+
+  /** What was asked in a span of time, by the moment it was planned for. */
+  public record Window(
+      double fromMs,
+      int asked,
+      int inTime,
+      int late,
+      int refused,
+      int failed,
+      int tries,
+      double p50Ms,
+      double p99Ms) {}
+
+  /** One class over the whole rehearsal; quantiles are of what was served. */
+  public record ClassResult(
+      int asked,
+      int served,
+      int inTime,
+      int refused,
+      int failed,
+      double p50Ms,
+      double p95Ms,
+      double p99Ms) {}
+
+  /**
+   * How late the emulator itself was, in milliseconds.
+   *
+   * @param ranLate whether the day counts for nothing because of it
+   */
+  public record Late(
+      boolean ranLate, double arrivalsP99, double arrivalsMax, double loopP99, double loopMax) {}
+
+  /**
+   * A gateway's process; figures a second, NaN where there is none.
+   *
+   * @param cpu cores in use
+   */
+  public record GatewayResult(
+      String name,
+      String site,
+      int asked,
+      int answered,
+      double[] cpu,
+      double[] memoryMb,
+      double[] descriptors) {}
+
+  /** A fault in words. */
+  public record FaultNote(double atMs, double endMs, String what) {}
+
+  /** Breaches by rule, also of rules that were kept. */
+  public Map<Rule, Integer> rules() {
+    Map<Rule, Integer> out = new EnumMap<>(Rule.class);
+    for (Rule rule : Rule.values()) {
+      out.put(rule, 0);
+    }
+    breaches.forEach(b -> out.merge(b.rule(), 1, Integer::sum));
+    return out;
+  }
+
+  /** Whether every rule was kept and no gateway crashed. */
+  public boolean kept() {
+    return breaches.isEmpty() && crashes == 0;
+  }
+}
--- /dev/null
+++ b/src/main/java/hazelspoke/emulator/report/Tally.java
@@ -0,0 +1,97 @@
+package hazelspoke.emulator.report;
+
+import hazelspoke.emulator.model.Outcome;
+import hazelspoke.emulator.model.Outcome.Fate;
+import hazelspoke.emulator.script.Script;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+
+/** Counts outcomes by time and by class: a function, whose sums always add up. */
+public final class Tally {
+  public static final double WINDOW_MS = 5_000;
+
+  private final Script script;
+  private final List<Outcome> outcomes;
+
+  /**
+   * @param outcomes one for each request, by times since the start of the load
+   */
+  public Tally(Script script, List<Outcome> outcomes) {
+    this.script = script;
+    this.outcomes = List.copyOf(outcomes);
+  }
+
+  /** The whole length in spans of 5 s, by the moment a request was planned for. */
+  public List<Results.Window> windows() {
+    int count = (int) Math.ceil(script.lengthMs() / WINDOW_MS);
+    List<List<Outcome>> spans = new ArrayList<>();
+    for (int i = 0; i < count; i++) {
+      spans.add(new ArrayList<>());
+    }
+    for (Outcome o : outcomes) {
+      spans.get((int) (o.arrival().atMs() / WINDOW_MS)).add(o);
+    }
+    List<Results.Window> out = new ArrayList<>();
+    for (int i = 0; i < count; i++) {
+      out.add(window(i * WINDOW_MS, spans.get(i)));
+    }
+    return out;
+  }
+
+  private Results.Window window(double from, List<Outcome> in) {
+    Quantiles latencies = latencies(in);
+    int inTime = inTime(in);
+    return new Results.Window(
+        from,
+        in.size(),
+        inTime,
+        count(in, Fate.SERVED) - inTime,
+        count(in, Fate.REFUSED),
+        count(in, Fate.FAILED),
+        in.stream().mapToInt(Outcome::tries).sum(),
+        latencies.at(0.5),
+        latencies.at(0.99));
+  }
+
+  /** Each class of the script, also one that nobody asked for. */
+  public Map<String, Results.ClassResult> classes() {
+    Map<String, Results.ClassResult> out = new LinkedHashMap<>();
+    for (int c = 0; c < script.classes().size(); c++) {
+      int wanted = c;
+      List<Outcome> in =
+          outcomes.stream().filter(o -> o.arrival().requestClass() == wanted).toList();
+      Quantiles latencies = latencies(in);
+      out.put(
+          script.classes().get(c).name(),
+          new Results.ClassResult(
+              in.size(),
+              count(in, Fate.SERVED),
+              inTime(in),
+              count(in, Fate.REFUSED),
+              count(in, Fate.FAILED),
+              latencies.at(0.5),
+              latencies.at(0.95),
+              latencies.at(0.99)));
+    }
+    return out;
+  }
+
+  private int inTime(List<Outcome> in) {
+    return (int)
+        in.stream()
+            .filter(o -> o.fate() == Fate.SERVED)
+            .filter(o -> o.latencyMs() <= script.classes().get(o.arrival().requestClass()).aimMs())
+            .count();
+  }
+
+  private static int count(List<Outcome> in, Fate fate) {
+    return (int) in.stream().filter(o -> o.fate() == fate).count();
+  }
+
+  private static Quantiles latencies(List<Outcome> in) {
+    return new Quantiles(
+        in.stream().filter(o -> o.fate() == Fate.SERVED).mapToDouble(Outcome::latencyMs).toArray());
+  }
+}
--- /dev/null
+++ b/src/main/java/hazelspoke/emulator/report/TextReport.java
@@ -0,0 +1,137 @@
+package hazelspoke.emulator.report;
+
+import hazelspoke.emulator.judge.Breach;
+import java.io.PrintStream;
+import java.util.Arrays;
+import java.util.Locale;
+import java.util.Map;
+
+/** The results as a page of text. */
+public final class TextReport {
+  private static final double MS = 1_000;
+  private static final int MOST_BREACHES = 10;
+
+  private final PrintStream out;
+
+  public TextReport(PrintStream out) {
+    this.out = out;
+  }
+
+  public void print(Results r) {
+    windows(r);
+    classes(r);
+    gateways(r);
+    verdict(r);
+  }
+
+  private void windows(Results r) {
+    line("");
+    line(
+        "%8s %6s %7s %5s %7s %6s %6s %7s %7s  %s",
+        "from", "asked", "in time", "late", "refused", "failed", "tries", "p50 ms", "p99 ms", "");
+    for (Results.Window w : r.windows()) {
+      StringBuilder marks = new StringBuilder();
+      for (Results.FaultNote f : r.faults()) {
+        double to = w.fromMs() + 5 * MS;
+        if (f.atMs() < to && Math.max(f.endMs(), f.atMs() + 1) > w.fromMs()) {
+          marks.append(marks.isEmpty() ? "* " : "; ").append(f.what());
+        }
+      }
+      line(
+          "%6.0f s %6d %7d %5d %7d %6d %6d %7s %7s  %s",
+          w.fromMs() / MS,
+          w.asked(),
+          w.inTime(),
+          w.late(),
+          w.refused(),
+          w.failed(),
+          w.tries(),
+          ms(w.p50Ms()),
+          ms(w.p99Ms()),
+          marks);
+    }
+  }
+
+  private void classes(Results r) {
+    line("");
+    line(
+        "%-12s %6s %6s %7s %7s %6s %7s %7s %7s",
+        "class", "asked", "served", "in time", "refused", "failed", "p50 ms", "p95 ms", "p99 ms");
+    for (Map.Entry<String, Results.ClassResult> e : r.classes().entrySet()) {
+      Results.ClassResult c = e.getValue();
+      line(
+          "%-12s %6d %6d %7d %7d %6d %7s %7s %7s",
+          e.getKey(),
+          c.asked(),
+          c.served(),
+          c.inTime(),
+          c.refused(),
+          c.failed(),
+          ms(c.p50Ms()),
+          ms(c.p95Ms()),
+          ms(c.p99Ms()));
+    }
+    line(
+        "attempts at hosts: %d; repeats of keyed requests without a second effect: %d",
+        r.attempts(), r.repeats());
+  }
+
+  private void gateways(Results r) {
+    line("");
+    line(
+        "%-8s %-14s %7s %9s %9s %9s %9s %11s",
+        "gateway", "site", "asked", "answered", "cpu mean", "cpu max", "MB max", "descriptors");
+    for (Results.GatewayResult g : r.gateways()) {
+      double[] cpu = Arrays.stream(g.cpu()).filter(v -> !Double.isNaN(v)).toArray();
+      line(
+          "%-8s %-14s %7d %9d %9s %9s %9s %11s",
+          g.name(),
+          g.site(),
+          g.asked(),
+          g.answered(),
+          figure(Arrays.stream(cpu).average().orElse(Double.NaN), "%.2f"),
+          figure(max(g.cpu()), "%.2f"),
+          figure(max(g.memoryMb()), "%.0f"),
+          figure(max(g.descriptors()), "%.0f"));
+    }
+  }
+
+  private void verdict(Results r) {
+    line("");
+    for (Breach b : r.breaches().stream().limit(MOST_BREACHES).toList()) {
+      line("BROKEN %s: %s at %.0f ms: %s", b.rule().word(), b.txn(), b.atMs(), b.what());
+      b.details().forEach(d -> line("    %s", d));
+    }
+    if (r.breaches().size() > MOST_BREACHES) {
+      line("... and %d more", r.breaches().size() - MOST_BREACHES);
+    }
+    StringBuilder rules = new StringBuilder();
+    r.rules().forEach((rule, n) -> rules.append(' ').append(rule.word()).append(' ').append(n));
+    line("breaches:%s; crashes %d", rules, r.crashes());
+    line(
+        "the emulator's own lateness: arrivals p99 %.1f ms, at most %.1f; its loop p99 %.1f ms, at"
+            + " most %.1f",
+        r.late().arrivalsP99(), r.late().arrivalsMax(), r.late().loopP99(), r.late().loopMax());
+    if (r.late().ranLate()) {
+      line("THE EMULATOR RAN LATE: this rehearsal counts for nothing");
+    } else {
+      line(r.kept() ? "all rules kept" : "RULES BROKEN");
+    }
+  }
+
+  private void line(String format, Object... values) {
+    out.println(String.format(Locale.ROOT, format, values).stripTrailing());
+  }
+
+  private static double max(double[] values) {
+    return Arrays.stream(values).filter(v -> !Double.isNaN(v)).max().orElse(Double.NaN);
+  }
+
+  private static String ms(double value) {
+    return figure(value, "%.0f");
+  }
+
+  private static String figure(double value, String format) {
+    return Double.isNaN(value) ? "-" : String.format(Locale.ROOT, format, value);
+  }
+}
--- /dev/null
+++ b/src/main/java/hazelspoke/emulator/run/Faults.java
@@ -0,0 +1,190 @@
+package hazelspoke.emulator.run;
+
+import hazelspoke.emulator.model.Registry;
+import hazelspoke.emulator.model.World;
+import hazelspoke.emulator.net.Discovery;
+import hazelspoke.emulator.net.Stage;
+import hazelspoke.emulator.net.StockHost;
+import hazelspoke.emulator.script.Fault;
+import java.util.List;
+import java.util.Locale;
+import java.util.function.Consumer;
+
+/** Makes happen what the script says, at its moments, on the stage's loop. */
+final class Faults {
+  private final Stage stage;
+  private final World world;
+  private final Fleet fleet;
+  private final Gateways gateways;
+  private final Discovery discovery;
+  private final Registry registry;
+  private final Consumer<String> progress;
+
+  Faults(
+      Stage stage,
+      World world,
+      Fleet fleet,
+      Gateways gateways,
+      Discovery discovery,
+      Registry registry,
+      Consumer<String> progress) {
+    this.stage = stage;
+    this.world = world;
+    this.fleet = fleet;
+    this.gateways = gateways;
+    this.discovery = discovery;
+    this.registry = registry;
+    this.progress = progress;
+  }
+
+  /** Plans all of them for a load that starts at {@code base}. */
+  void plan(double base) {
+    List<Fault> faults = world.script().faults();
+    for (int i = 0; i < faults.size(); i++) {
+      Fault fault = faults.get(i);
+      List<String> struck = world.struck().get(i);
+      stage.at(
+          base + fault.atMs(),
+          () -> {
+            progress.accept(describe(fault, struck));
+            begin(fault, struck, base);
+          });
+      if (fault.kind().lasts()) {
+        stage.at(base + fault.endMs(), () -> end(fault, struck));
+      }
+    }
+  }
+
+  /** A fault in a few words. */
+  static String describe(Fault fault, List<String> struck) {
+    String what = fault.kind().name().toLowerCase(Locale.ROOT).replace('_', ' ');
+    String whom =
+        struck.size() > 4
+            ? struck.size() + " of them"
+            : struck.isEmpty() ? fault.requestClass() : String.join(", ", struck);
+    String length =
+        fault.forMs() > 0 ? String.format(Locale.ROOT, " for %.1f s", fault.forMs() / 1_000) : "";
+    return (what + " " + whom).trim() + length;
+  }
+
+  private void begin(Fault fault, List<String> struck, double base) {
+    switch (fault.kind().subject()) {
+      case HOSTS -> struck.forEach(name -> begin(fault, fleet.host(name), base));
+      case GATEWAYS -> struck.forEach(name -> begin(fault, gateways.gate(name)));
+      case SITE -> {
+        for (String name : struck) {
+          if (name.startsWith("g")) {
+            gateways.kill(gateways.gate(name));
+          } else if (fault.silent()) {
+            fleet.vanish(fleet.host(name));
+          } else {
+            fleet.crash(fleet.host(name));
+          }
+        }
+      }
+      case DISCOVERY -> {
+        switch (fault.kind()) {
+          case DISCOVERY_LATE -> registry.late(1_000 * fault.factor());
+          case DISCOVERY_DOWN -> discovery.down(true);
+          default -> gateways.moveDiscovery();
+        }
+      }
+      default -> {
+        // The load was drawn with it.
+      }
+    }
+  }
+
+  private void begin(Fault fault, StockHost host, double base) {
+    double now = stage.now();
+    switch (fault.kind()) {
+      case CRASH -> fleet.crash(host);
+      case HANG -> host.hang();
+      case FREEZE -> host.freeze();
+      case PAUSES -> pause(fault, host, base + fault.endMs());
+      case SLOW -> host.slow(fault.factor());
+      case ERRORS ->
+          host.errors(
+              at ->
+                  fault.from()
+                      + (fault.to() - fault.from()) * Math.min(1, (at - now) / fault.forMs()));
+      case RESET -> host.resets(fault.to());
+      case REFUSE -> host.refuse(true);
+      case RESTART -> {
+        fleet.crash(host);
+        fleet.startAgain(host);
+      }
+      case DRAIN, SHRINK -> fleet.drain(host);
+      case REPLACE -> fleet.replace(host);
+      default -> throw new IllegalStateException(fault.kind() + " strikes no host");
+    }
+  }
+
+  private void pause(Fault fault, StockHost host, double until) {
+    if (stage.now() >= until) {
+      return;
+    }
+    host.hang();
+    stage.at(stage.now() + fault.factor(), host::goOn);
+    stage.at(stage.now() + fault.every(), () -> pause(fault, host, until));
+  }
+
+  private void begin(Fault fault, Gateways.Gate gate) {
+    switch (fault.kind()) {
+      case GATEWAY_TERM -> gateways.term(gate);
+      case GATEWAY_KILL -> gateways.kill(gate);
+      case GATEWAY_STOP -> gateways.stop(gate);
+      default -> gateways.hangUp(gate);
+    }
+  }
+
+  private void end(Fault fault, List<String> struck) {
+    switch (fault.kind().subject()) {
+      case HOSTS -> struck.forEach(name -> end(fault, fleet.host(name)));
+      case GATEWAYS -> {
+        for (String name : struck) {
+          if (fault.kind() == Fault.Kind.GATEWAY_STOP) {
+            gateways.goOn(gateways.gate(name));
+          } else {
+            gateways.startAgain(gateways.gate(name));
+          }
+        }
+      }
+      case SITE -> {
+        for (String name : struck) {
+          if (name.startsWith("g")) {
+            gateways.startAgain(gateways.gate(name));
+          } else {
+            fleet.startAgain(fleet.host(name));
+          }
+        }
+      }
+      case DISCOVERY -> {
+        if (fault.kind() == Fault.Kind.DISCOVERY_LATE) {
+          registry.late(0);
+        } else {
+          discovery.down(false);
+        }
+      }
+      default -> {
+        // Drawn with the load.
+      }
+    }
+  }
+
+  private void end(Fault fault, StockHost host) {
+    switch (fault.kind()) {
+      case CRASH -> fleet.startAgain(host);
+      case HANG -> host.goOn();
+      case FREEZE -> host.thaw();
+      case SLOW -> host.slow(1);
+      case ERRORS -> host.errors(at -> 0);
+      case RESET -> host.resets(0);
+      case REFUSE -> host.refuse(false);
+      case DRAIN, SHRINK -> fleet.leave(host);
+      default -> {
+        // Ends by itself.
+      }
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/hazelspoke/emulator/run/Fleet.java
@@ -0,0 +1,173 @@
+package hazelspoke.emulator.run;
+
+import hazelspoke.emulator.judge.Ledger;
+import hazelspoke.emulator.model.Registry;
+import hazelspoke.emulator.model.Registry.Entry;
+import hazelspoke.emulator.model.Registry.Status;
+import hazelspoke.emulator.model.RepeatMemory;
+import hazelspoke.emulator.model.ServerSpec;
+import hazelspoke.emulator.model.World;
+import hazelspoke.emulator.net.Host;
+import hazelspoke.emulator.net.LedgerSink;
+import hazelspoke.emulator.net.Ports;
+import hazelspoke.emulator.net.Stage;
+import hazelspoke.emulator.net.StockHost;
+import hazelspoke.emulator.script.Script;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+
+/** The hosts of a rehearsal, and what discovery hears of them. On the stage's loop. */
+final class Fleet {
+  private static final int NET = 77;
+
+  /** How much the work of one request differs from attempt to attempt. */
+  private static final double ATTEMPT_NOISE = 0.3;
+
+  private final Stage stage;
+  private final Script script;
+  private final Registry registry;
+  private final Map<String, StockHost> hosts = new LinkedHashMap<>();
+  private final Map<StockHost, Entry> listed = new LinkedHashMap<>();
+  private int replaced;
+
+  Fleet(Stage stage, World world, Ledger ledger, Registry registry, ApartHosts apart)
+      throws IOException {
+    this.stage = stage;
+    this.script = world.script();
+    this.registry = registry;
+    Host.Rules rules = rules(world);
+    List<RepeatMemory> repeats = new ArrayList<>();
+    for (int i = 0; i < script.fleet().sites().size(); i++) {
+      repeats.add(new RepeatMemory(window(script)));
+    }
+    int number = 0;
+    for (ServerSpec spec : world.servers()) {
+      var address = Ports.free(NET, number++);
+      StockHost host =
+          script.fleet().apart().contains(spec.name())
+              ? apart.host(stage, spec, address, ledger)
+              : new Host(
+                  stage, spec, address, rules, repeats.get(spec.site()), new LedgerSink(ledger));
+      hosts.put(spec.name(), host);
+    }
+  }
+
+  static Host.Rules rules(World world) {
+    Script.Fleet fleet = world.script().fleet();
+    return new Host.Rules(
+        fleet.dropsCancelled(),
+        fleet.dropsExpired(),
+        ConfigFile.FALL_MULTIPLE,
+        ConfigFile.FALL_MS,
+        ATTEMPT_NOISE,
+        world.seed());
+  }
+
+  static double window(Script script) {
+    return script.classes().stream()
+        .filter(c -> c.effect() == Script.Effect.BY_KEY)
+        .mapToDouble(Script.RequestClass::windowMs)
+        .max()
+        .orElse(0);
+  }
+
+  /** All hosts are up, warm and listed. */
+  void start() {
+    for (StockHost host : hosts.values()) {
+      host.start(false);
+      Entry entry = entry(host, Status.READY, 0);
+      listed.put(host, entry);
+      registry.put(entry);
+    }
+  }
+
+  StockHost host(String name) {
+    return hosts.get(name);
+  }
+
+  /** The hosts as they were drawn; one that was replaced stands in its predecessor's place. */
+  List<StockHost> all() {
+    return List.copyOf(hosts.values());
+  }
+
+  /** The process dies, which discovery sees in a while. */
+  void crash(StockHost host) {
+    if (host.isUp()) {
+      host.crash();
+      gone(host, script.discovery().noticeMs());
+    }
+  }
+
+  /** The machine vanishes, which discovery takes longer to see. */
+  void vanish(StockHost host) {
+    if (host.isUp()) {
+      host.vanish();
+      gone(host, script.discovery().silentNoticeMs());
+    }
+  }
+
+  /** It starts again, cold. */
+  void startAgain(StockHost host) {
+    if (!host.isUp() && !host.hasFallen()) {
+      host.start(true);
+      announce(
+          host, entry(host, Status.READY, stage.unixMs(stage.now())), script.discovery().addMs());
+    }
+  }
+
+  /** It is to go: listed as terminating, and turns away what is new. */
+  void drain(StockHost host) {
+    if (host.isUp()) {
+      host.drain();
+      Entry now = listed.get(host);
+      announce(host, entry(host, Status.TERMINATING, now.sinceMs()), script.discovery().noticeMs());
+    }
+  }
+
+  /** Its drain is over. */
+  void leave(StockHost host) {
+    if (host.isUp()) {
+      host.crash();
+      gone(host, script.discovery().noticeMs());
+    }
+  }
+
+  /** Another host, under a new name, stands at its address from now on. */
+  void replace(StockHost host) {
+    if (host.isUp()) {
+      host.crash();
+      gone(host, script.discovery().noticeMs());
+      host.rename(host.spec().name() + "-r" + ++replaced);
+      startAgain(host);
+    }
+  }
+
+  private void gone(StockHost host, double afterMs) {
+    announce(host, entry(host, Status.GONE, listed.get(host).sinceMs()), afterMs);
+  }
+
+  private void announce(StockHost host, Entry entry, double afterMs) {
+    listed.put(host, entry);
+    registry.announce(entry, stage.now(), afterMs);
+  }
+
+  private Entry entry(StockHost host, Status status, long sinceMs) {
+    ServerSpec spec = host.spec();
+    return new Entry(
+        host.name(),
+        Ports.text(host.address()),
+        script.fleet().sites().get(spec.site()),
+        spec.kind(),
+        spec.group(),
+        status,
+        sinceMs,
+        0);
+  }
+
+  void close() {
+    hosts.values().forEach(StockHost::close);
+  }
+}
--- /dev/null
+++ b/src/main/java/hazelspoke/emulator/run/Gateways.java
@@ -0,0 +1,347 @@
+package hazelspoke.emulator.run;
+
+import hazelspoke.emulator.judge.Ledger;
+import hazelspoke.emulator.model.Draws;
+import hazelspoke.emulator.model.Registry;
+import hazelspoke.emulator.model.World;
+import hazelspoke.emulator.net.Discovery;
+import hazelspoke.emulator.net.Ports;
+import hazelspoke.emulator.net.Seat;
+import hazelspoke.emulator.net.Stage;
+import hazelspoke.emulator.run.GatewayHandle.Signal;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * The gateways of a rehearsal: started, sent signals and looked at by threads of their own, as none
+ * of that may hold up the stage's loop. Everything but that happens on the loop.
+ */
+final class Gateways implements AutoCloseable {
+  private static final int GATEWAY_NET = 79;
+  private static final int DISCOVERY_NET = 78;
+
+  /** The front layer learns of a death after a time from one to the other. */
+  private static final double NOTICE_LEAST_MS = 1_200;
+
+  private static final double NOTICE_MOST_MS = 3_600;
+
+  /** New connections go on coming for this long after SIGTERM. */
+  private static final double LEAVE_MS = 300;
+
+  /** What a gateway that had been stopped has still to catch up with. */
+  private static final double CATCH_UP_MS = 500;
+
+  private static final int PROBE_TIMEOUT_MS = 500;
+  private static final long PROBE_EVERY_MS = 50;
+  private static final long START_PATIENCE_MS = 30_000;
+
+  private final Stage stage;
+  private final World world;
+  private final Ledger ledger;
+  private final Registry registry;
+  private final Discovery discovery;
+  private final GatewayLauncher launcher;
+  private final Path folder;
+  private final List<Gate> gates = new ArrayList<>();
+  private final ExecutorService operators =
+      Executors.newCachedThreadPool(
+          task -> {
+            Thread thread = new Thread(task, "operator");
+            thread.setDaemon(true);
+            return thread;
+          });
+  private int moves;
+  private volatile boolean closing;
+
+  /** One gateway, and what is known of its process. */
+  static final class Gate {
+    final Seat seat;
+    final Path config;
+    final Map<String, String> environment = new HashMap<>();
+    final Path log;
+    String discovery;
+    volatile GatewayHandle handle;
+    volatile Samples.Sample sample;
+    double outSince = Double.NaN;
+    boolean wanted = true;
+    int crashes;
+    int starts;
+
+    Gate(Seat seat, Path folder) {
+      this.seat = seat;
+      String name = "g" + (seat.gateway() + 1);
+      config = folder.resolve(name + ".json");
+      log = folder.resolve(name + ".log");
+    }
+  }
+
+  Gateways(
+      Stage stage,
+      World world,
+      Ledger ledger,
+      Registry registry,
+      Discovery discovery,
+      GatewayLauncher launcher,
+      Path folder)
+      throws IOException {
+    this.stage = stage;
+    this.world = world;
+    this.ledger = ledger;
+    this.registry = registry;
+    this.discovery = discovery;
+    this.launcher = launcher;
+    this.folder = folder;
+    for (int i = 0; i < world.gatewaySites().size(); i++) {
+      InetSocketAddress listen = Ports.free(GATEWAY_NET, i);
+      InetSocketAddress list = Ports.free(DISCOVERY_NET, i);
+      Gate gate = new Gate(new Seat(i, world.gatewaySites().get(i), listen), folder);
+      gate.discovery = Ports.text(list);
+      discovery.open(i, list);
+      gates.add(gate);
+    }
+  }
+
+  List<Gate> all() {
+    return gates;
+  }
+
+  Gate gate(String name) {
+    return gates.get(Integer.parseInt(name.substring(1)) - 1);
+  }
+
+  /** Starts all of them at once and returns when every one is ready. */
+  void start() throws IOException, InterruptedException {
+    for (Gate gate : gates) {
+      stage.loop().submit(() -> writeConfig(gate)).syncUninterruptibly();
+      launch(gate);
+    }
+    for (Gate gate : gates) {
+      if (!awaitReady(gate)) {
+        throw new IOException(
+            "g"
+                + (gate.seat.gateway() + 1)
+                + " was not ready within 30 s; its log: "
+                + tail(gate.log));
+      }
+      stage.loop().execute(() -> gate.seat.deal(true));
+    }
+  }
+
+  private static String tail(Path log) {
+    try {
+      List<String> lines = Files.readAllLines(log);
+      return String.join(" | ", lines.subList(Math.max(0, lines.size() - 3), lines.size()));
+    } catch (IOException e) {
+      return "none";
+    }
+  }
+
+  private void writeConfig(Gate gate) {
+    int i = gate.seat.gateway();
+    String text =
+        ConfigFile.write(
+            world,
+            i,
+            Ports.text(gate.seat.address()),
+            gate.discovery,
+            Draws.mix(world.seed() + 1_000L * i + gate.starts),
+            registry.index(),
+            registry.all());
+    try {
+      Path fresh = Files.createTempFile(folder, "config", ".json");
+      Files.writeString(fresh, text);
+      Files.move(fresh, gate.config, java.nio.file.StandardCopyOption.ATOMIC_MOVE);
+    } catch (IOException e) {
+      stage.fail("a configuration cannot be written", e);
+    }
+  }
+
+  private void launch(Gate gate) throws IOException {
+    String name = "g" + (gate.seat.gateway() + 1);
+    gate.starts++;
+    Path temporary = Files.createTempDirectory(folder, name + "-tmp");
+    gate.environment.put("NODE_CONFIG", gate.config.toString());
+    gate.environment.put("NODE_NAME", name);
+    gate.environment.put("NODE_LISTEN", Ports.text(gate.seat.address()));
+    gate.environment.put("NODE_DISCOVERY", gate.discovery);
+    gate.environment.put("TMPDIR", temporary.toString());
+    gate.handle = launcher.launch(name, gate.environment, gate.log);
+  }
+
+  private boolean awaitReady(Gate gate) throws InterruptedException {
+    long end = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(START_PATIENCE_MS);
+    while (System.nanoTime() < end && !closing && gate.handle.isAlive()) {
+      if (isReady(gate.seat.address())) {
+        return true;
+      }
+      Thread.sleep(PROBE_EVERY_MS);
+    }
+    return false;
+  }
+
+  private static boolean isReady(InetSocketAddress address) {
+    try (Socket socket = new Socket()) {
+      socket.connect(address, PROBE_TIMEOUT_MS);
+      socket.setSoTimeout(PROBE_TIMEOUT_MS);
+      socket
+          .getOutputStream()
+          .write(
+              "GET /healthz HTTP/1.1\r\nHost: front\r\n\r\n".getBytes(StandardCharsets.US_ASCII));
+      byte[] start = socket.getInputStream().readNBytes("HTTP/1.1 200".length());
+      return new String(start, StandardCharsets.US_ASCII).equals("HTTP/1.1 200");
+    } catch (IOException e) {
+      return false;
+    }
+  }
+
+  /** SIGKILL; what it held is its clients' to retry. */
+  void kill(Gate gate) {
+    gate.wanted = false;
+    out(gate);
+    signal(gate, Signal.KILL);
+    undealLater(gate);
+  }
+
+  /** SIGTERM, as at a planned restart. */
+  void term(Gate gate) {
+    gate.wanted = false;
+    signal(gate, Signal.TERM);
+    stage.at(stage.now() + LEAVE_MS, () -> gate.seat.deal(false));
+  }
+
+  /** Starts one again that was ended; what still runs of it is killed first. */
+  void startAgain(Gate gate) {
+    out(gate);
+    writeConfig(gate);
+    operators.execute(
+        () -> {
+          try {
+            gate.handle.close();
+            launch(gate);
+            if (awaitReady(gate)) {
+              stage.loop().execute(() -> back(gate));
+            } else if (!closing) {
+              stage.fail(
+                  "a gateway did not come back; its log: " + tail(gate.log), new IOException());
+            }
+          } catch (IOException e) {
+            stage.fail("a gateway cannot be started again", e);
+          } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+          }
+        });
+  }
+
+  private void back(Gate gate) {
+    gate.wanted = true;
+    ledger.outage(gate.seat.gateway(), gate.outSince, stage.now());
+    gate.outSince = Double.NaN;
+    discovery.restarted(gate.seat.gateway());
+    gate.seat.deal(true);
+  }
+
+  /** SIGSTOP. */
+  void stop(Gate gate) {
+    out(gate);
+    signal(gate, Signal.STOP);
+    undealLater(gate);
+  }
+
+  /** SIGCONT. */
+  void goOn(Gate gate) {
+    signal(gate, Signal.CONT);
+    ledger.outage(gate.seat.gateway(), gate.outSince, stage.now() + CATCH_UP_MS);
+    gate.outSince = Double.NaN;
+    stage.at(stage.now() + CATCH_UP_MS, () -> gate.seat.deal(true));
+  }
+
+  void hangUp(Gate gate) {
+    signal(gate, Signal.HUP);
+  }
+
+  /** Discovery is elsewhere from now on: configurations are replaced, and SIGHUP says so. */
+  void moveDiscovery() {
+    moves++;
+    for (Gate gate : gates) {
+      try {
+        InetSocketAddress next =
+            Ports.free(DISCOVERY_NET, moves * gates.size() + gate.seat.gateway());
+        gate.discovery = Ports.text(next);
+        discovery.move(gate.seat.gateway(), next);
+        writeConfig(gate);
+        signal(gate, Signal.HUP);
+      } catch (IOException e) {
+        stage.fail("discovery cannot move", e);
+      }
+    }
+  }
+
+  private void out(Gate gate) {
+    if (Double.isNaN(gate.outSince)) {
+      gate.outSince = stage.now();
+    }
+  }
+
+  private void undealLater(Gate gate) {
+    double unit = Draws.unit(world.seed(), gate.seat.gateway(), (long) stage.now());
+    double notice = NOTICE_LEAST_MS + unit * (NOTICE_MOST_MS - NOTICE_LEAST_MS);
+    double since = gate.outSince;
+    stage.at(
+        stage.now() + notice,
+        () -> {
+          if (gate.outSince == since) {
+            gate.seat.deal(false);
+          }
+        });
+  }
+
+  private void signal(Gate gate, Signal signal) {
+    GatewayHandle handle = gate.handle;
+    operators.execute(() -> handle.signal(signal));
+  }
+
+  /** Looks at every process, and notes those that have ended by themselves. */
+  void look() {
+    for (Gate gate : gates) {
+      GatewayHandle handle = gate.handle;
+      if (gate.wanted && !handle.isAlive()) {
+        gate.wanted = false;
+        gate.crashes++;
+        out(gate);
+        undealLater(gate);
+      }
+      operators.execute(() -> gate.sample = Samples.of(handle.pid()));
+    }
+  }
+
+  /** Notes the outages that last to the end. */
+  void settle() {
+    for (Gate gate : gates) {
+      if (!Double.isNaN(gate.outSince)) {
+        ledger.outage(gate.seat.gateway(), gate.outSince, Double.POSITIVE_INFINITY);
+      }
+    }
+  }
+
+  @Override
+  public void close() {
+    closing = true;
+    operators.shutdown();
+    for (Gate gate : gates) {
+      if (gate.handle != null) {
+        gate.handle.close();
+      }
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/hazelspoke/emulator/run/Lateness.java
@@ -0,0 +1,35 @@
+package hazelspoke.emulator.run;
+
+import java.util.Arrays;
+
+/**
+ * How late the emulator itself was: a rehearsal whose own clients and hosts came late says nothing
+ * of a gateway.
+ */
+public final class Lateness {
+  private static final double TAIL = 0.99;
+
+  private double[] values = new double[1_024];
+  private int count;
+
+  public void add(double ms) {
+    if (count == values.length) {
+      values = Arrays.copyOf(values, 2 * count);
+    }
+    values[count++] = Math.max(0, ms);
+  }
+
+  public double p99() {
+    return quantile(TAIL);
+  }
+
+  public double max() {
+    return quantile(1);
+  }
+
+  private double quantile(double q) {
+    double[] sorted = Arrays.copyOf(values, count);
+    Arrays.sort(sorted);
+    return count == 0 ? 0 : sorted[Math.max(0, (int) Math.ceil(q * count) - 1)];
+  }
+}
--- /dev/null
+++ b/src/main/java/hazelspoke/emulator/run/LocalGateways.java
@@ -0,0 +1,82 @@
+package hazelspoke.emulator.run;
+
+import hazelspoke.gateway.Gateway;
+import java.io.IOException;
+import java.io.PrintStream;
+import java.nio.file.Path;
+import java.util.Map;
+
+/** Gateways in this process, each on a loop of its own. */
+public final class LocalGateways implements GatewayLauncher {
+  @Override
+  public GatewayHandle launch(String name, Map<String, String> environment, Path log)
+      throws IOException {
+    PrintStream lines = new PrintStream(log.toFile());
+    try {
+      return new Local(Gateway.open(environment, lines), environment, lines);
+    } catch (IllegalStateException e) {
+      lines.close();
+      throw new IOException(name + " cannot start: " + e.getMessage(), e);
+    }
+  }
+
+  private static final class Local implements GatewayHandle {
+    private final Gateway gateway;
+    private final Map<String, String> environment;
+    private final PrintStream lines;
+    private volatile boolean alive = true;
+    private Thread leave;
+
+    Local(Gateway gateway, Map<String, String> environment, PrintStream lines) {
+      this.gateway = gateway;
+      this.environment = environment;
+      this.lines = lines;
+    }
+
+    @Override
+    public synchronized void signal(Signal signal) {
+      switch (signal) {
+        case HUP -> gateway.reload(environment);
+        case TERM -> end(gateway::drain);
+        case KILL -> end(gateway::stop);
+        default ->
+            throw new UnsupportedOperationException("a gateway in this process cannot be stopped");
+      }
+    }
+
+    private void end(Runnable how) {
+      if (leave == null) {
+        leave =
+            new Thread(
+                () -> {
+                  how.run();
+                  alive = false;
+                },
+                "leave");
+        leave.setDaemon(true);
+        leave.start();
+      }
+    }
+
+    @Override
+    public boolean isAlive() {
+      return alive;
+    }
+
+    @Override
+    public long pid() {
+      return -1;
+    }
+
+    @Override
+    public void close() {
+      signal(Signal.KILL);
+      try {
+        leave.join();
+      } catch (InterruptedException e) {
+        Thread.currentThread().interrupt();
+      }
+      lines.close();
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/hazelspoke/emulator/run/ProcessHandleOf.java
@@ -0,0 +1,56 @@
+package hazelspoke.emulator.run;
+
+import java.io.IOException;
+import java.util.concurrent.TimeUnit;
+
+/** A process that was started here, and is sent signals by its id. */
+final class ProcessHandleOf implements GatewayHandle {
+  private static final long PATIENCE_S = 10;
+
+  private final Process process;
+
+  ProcessHandleOf(Process process) {
+    this.process = process;
+  }
+
+  @Override
+  public void signal(Signal signal) {
+    if (!process.isAlive()) {
+      return;
+    }
+    switch (signal) {
+      case TERM -> process.destroy();
+      case KILL -> process.destroyForcibly();
+      default -> {
+        try {
+          // Java itself can send no more than the two above.
+          new ProcessBuilder("kill", "-" + signal, Long.toString(process.pid())).start().waitFor();
+        } catch (IOException e) {
+          throw new IllegalStateException("cannot send SIG" + signal, e);
+        } catch (InterruptedException e) {
+          Thread.currentThread().interrupt();
+        }
+      }
+    }
+  }
+
+  @Override
+  public boolean isAlive() {
+    return process.isAlive();
+  }
+
+  @Override
+  public long pid() {
+    return process.pid();
+  }
+
+  @Override
+  public void close() {
+    process.destroyForcibly();
+    try {
+      process.waitFor(PATIENCE_S, TimeUnit.SECONDS);
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/hazelspoke/emulator/script/Fault.java
@@ -0,0 +1,111 @@
+package hazelspoke.emulator.script;
+
+import java.util.List;
+
+/**
+ * One thing that goes wrong, from {@code atMs} on for {@code forMs} (both since the first request
+ * may be asked). What {@code factor}, {@code from} and {@code to} mean depends on the kind.
+ *
+ * @param target the hosts or gateways it strikes
+ * @param silent of a site that goes dark: machines vanish instead of processes dying
+ * @param every time between pauses, in milliseconds
+ * @param requestClass the class that has a heavy tail
+ * @param line where the script says so
+ */
+public record Fault(
+    Kind kind,
+    double atMs,
+    double forMs,
+    Target target,
+    double factor,
+    double from,
+    double to,
+    boolean silent,
+    double every,
+    String requestClass,
+    int line) {
+
+  /** What can go wrong, and with what. */
+  public enum Kind {
+    /** The process dies; its connections are reset. It starts again, cold, when the time is up. */
+    CRASH(Subject.HOSTS, true),
+    /** Takes work and says nothing; its cores stand still. */
+    HANG(Subject.HOSTS, true),
+    /** Says nothing for the time, works on, and then answers everything at once. */
+    FREEZE(Subject.HOSTS, true),
+    /** Freezes again and again: {@code freeze_ms} every {@code every_s}. */
+    PAUSES(Subject.HOSTS, true),
+    /** Cores that are slower by {@code factor}. */
+    SLOW(Subject.HOSTS, true),
+    /** A share of errors that goes from {@code from} to {@code to} along a line. */
+    ERRORS(Subject.HOSTS, true),
+    /** A share {@code to} of the requests of one class needs {@code factor} times its work. */
+    HEAVY_TAIL(Subject.LOAD, true),
+    /** A share {@code to} of the answers breaks off in the middle. */
+    RESET(Subject.HOSTS, true),
+    /** New connections are refused; open ones go on. */
+    REFUSE(Subject.HOSTS, true),
+    /** Ends and starts again at once, cold, under its name. */
+    RESTART(Subject.HOSTS, false),
+    /** Listed as terminating, finishes what it has, and is gone when the time is up. */
+    DRAIN(Subject.HOSTS, true),
+    /** Ends, and another under a new name starts at its address. */
+    REPLACE(Subject.HOSTS, false),
+    /** All of a site, its gateways with it; comes back cold. */
+    SITE_DARK(Subject.SITE, true),
+    /** Hosts drain and leave for good. */
+    SHRINK(Subject.HOSTS, true),
+    /** News of the list comes {@code factor} seconds later. */
+    DISCOVERY_LATE(Subject.DISCOVERY, true),
+    /** Watches end and calls fail. */
+    DISCOVERY_DOWN(Subject.DISCOVERY, true),
+    /** Discovery gets another address; configurations are replaced and gateways get SIGHUP. */
+    DISCOVERY_MOVED(Subject.DISCOVERY, false),
+    GATEWAY_TERM(Subject.GATEWAYS, true),
+    GATEWAY_KILL(Subject.GATEWAYS, true),
+    /** SIGSTOP, and SIGCONT when the time is up. */
+    GATEWAY_STOP(Subject.GATEWAYS, true),
+    GATEWAY_HUP(Subject.GATEWAYS, false);
+
+    private final Subject subject;
+    private final boolean lasts;
+
+    Kind(Subject subject, boolean lasts) {
+      this.subject = subject;
+      this.lasts = lasts;
+    }
+
+    public Subject subject() {
+      return subject;
+    }
+
+    /** Whether it has a length. */
+    public boolean lasts() {
+      return lasts;
+    }
+  }
+
+  /** What a fault is about. */
+  public enum Subject {
+    HOSTS,
+    SITE,
+    LOAD,
+    DISCOVERY,
+    GATEWAYS
+  }
+
+  /**
+   * Which hosts or gateways: those named, or of the rest a share (0 to 1) of those of a kind and of
+   * a site; null and empty where nothing is said.
+   */
+  public record Target(List<String> names, double share, String kind, String site) {
+    public Target {
+      names = List.copyOf(names);
+    }
+  }
+
+  /** When it is over, in milliseconds. */
+  public double endMs() {
+    return atMs + forMs;
+  }
+}
--- /dev/null
+++ b/src/main/java/hazelspoke/emulator/script/Script.java
@@ -0,0 +1,126 @@
+package hazelspoke.emulator.script;
+
+import java.util.List;
+
+/**
+ * A rehearsal as it was written: a fleet, a load and what goes wrong when. Times are in
+ * milliseconds unless a name says otherwise. The README of {@code rehearsals/} has every key.
+ */
+public record Script(
+    String title,
+    double lengthMs,
+    Fleet fleet,
+    Load load,
+    List<RequestClass> classes,
+    Discovery discovery,
+    Judge judge,
+    List<Fault> faults) {
+  public Script {
+    classes = List.copyOf(classes);
+    faults = List.copyOf(faults);
+  }
+
+  /**
+   * @param inProcess gateways run in the emulator's own process and not as {@code run} says
+   * @param dropsCancelled what waits at a host is dropped when its gateway gives it up
+   * @param dropsExpired what is over when its turn comes is turned away
+   * @param apart names of hosts that run as processes of their own
+   */
+  public record Fleet(
+      List<String> sites,
+      int gateways,
+      int servers,
+      double large,
+      double medium,
+      double small,
+      boolean inProcess,
+      int sockets,
+      int memoryMb,
+      boolean dropsCancelled,
+      boolean dropsExpired,
+      List<String> apart) {
+    public Fleet {
+      sites = List.copyOf(sites);
+      apart = List.copyOf(apart);
+    }
+  }
+
+  /** How the rate of asking moves. */
+  public enum Shape {
+    STEADY,
+    BURSTY,
+    RAMP
+  }
+
+  /**
+   * @param rate requests a second over all sites, first tries only
+   * @param swing by what part of the rate it moves
+   * @param keys distinct keys, the n-th asked for in proportion to {@code 1 / n^zipf}
+   * @param retries how often a client asks again
+   * @param tryShare a try is given up after this part of the deadline
+   * @param honour the share of the clients that heed {@code Retry-After}
+   */
+  public record Load(
+      double rate,
+      Shape shape,
+      double swing,
+      int keys,
+      double zipf,
+      int retries,
+      double backoffMs,
+      double tryShare,
+      double honour,
+      List<Surge> surges) {
+    public Load {
+      surges = List.copyOf(surges);
+    }
+  }
+
+  /** From one time to another the rate is {@code factor} times as high. */
+  public record Surge(double atMs, double forMs, double factor) {}
+
+  /** How a class may be repeated: in the words of the settings. */
+  public enum Effect {
+    REPEATABLE,
+    BY_KEY,
+    ONCE
+  }
+
+  /** A class of requests; {@code share} is relative to the others' shares. */
+  public record RequestClass(
+      String name,
+      double share,
+      double workMs,
+      double cv,
+      double aimMs,
+      double deadlineMs,
+      double worth,
+      Effect effect,
+      double windowMs) {}
+
+  /** Whether the list is asked for or pushed. */
+  public enum Mode {
+    ASKED,
+    PUSHED
+  }
+
+  /**
+   * @param linesPerS what it can tell in a second, 0 for no limit
+   * @param callLines what a call costs besides its entries
+   */
+  public record Discovery(
+      Mode mode,
+      double noticeMs,
+      double silentNoticeMs,
+      double addMs,
+      double linesPerS,
+      double callLines,
+      double timeoutMs) {}
+
+  /**
+   * @param slackMs what each time limit of a rule is longer by
+   * @param lateMs a day counts for nothing when one arrival in a hundred, or one look at the clock,
+   *     was later than this
+   */
+  public record Judge(double slackMs, double lateMs) {}
+}
--- /dev/null
+++ b/src/main/java/hazelspoke/emulator/script/Table.java
@@ -0,0 +1,182 @@
+package hazelspoke.emulator.script;
+
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Locale;
+import java.util.Set;
+import java.util.TreeSet;
+import org.tomlj.Toml;
+import org.tomlj.TomlArray;
+import org.tomlj.TomlPosition;
+import org.tomlj.TomlTable;
+
+/** One table of a script, read with checks: every complaint names its file, line and key. */
+final class Table {
+  private final String file;
+  private final String path;
+  private final TomlTable table;
+  private final int line;
+  private final Set<String> known = new HashSet<>();
+
+  Table(String file, String path, TomlTable table, int line) {
+    this.file = file;
+    this.path = path;
+    this.table = table;
+    this.line = line;
+  }
+
+  boolean has(String key) {
+    known.add(key);
+    return table.contains(List.of(key));
+  }
+
+  /** A number from {@code least} to {@code most}; {@code absent} where the key is not given. */
+  double number(String key, double absent, double least, double most) throws ScriptException {
+    if (!has(key)) {
+      return absent;
+    }
+    double value = number(table.get(List.of(key)));
+    if (!(value >= least && value <= most)) {
+      throw fail(key, "expected a number from " + plain(least) + " to " + plain(most));
+    }
+    return value;
+  }
+
+  /** A number that must be given. */
+  double number(String key, double least, double most) throws ScriptException {
+    require(key, "a number from " + plain(least) + " to " + plain(most));
+    return number(key, 0, least, most);
+  }
+
+  int whole(String key, int absent, int least, int most) throws ScriptException {
+    double value = number(key, absent, least, most);
+    if (value != (int) value) {
+      throw fail(key, "expected a whole number from " + least + " to " + most);
+    }
+    return (int) value;
+  }
+
+  boolean flag(String key, boolean absent) throws ScriptException {
+    if (!has(key)) {
+      return absent;
+    }
+    if (table.get(List.of(key)) instanceof Boolean value) {
+      return value;
+    }
+    throw fail(key, "expected true or false");
+  }
+
+  String text(String key, String absent) throws ScriptException {
+    if (!has(key)) {
+      return absent;
+    }
+    if (table.get(List.of(key)) instanceof String value) {
+      return value;
+    }
+    throw fail(key, "expected a text in quotes");
+  }
+
+  /** One of the constants of an enum, written in lower case; null where absent is null. */
+  <T extends Enum<T>> T word(String key, T absent, Class<T> type) throws ScriptException {
+    String text = text(key, null);
+    if (text == null) {
+      return absent;
+    }
+    List<String> words = new ArrayList<>();
+    for (T constant : type.getEnumConstants()) {
+      String word = constant.name().toLowerCase(Locale.ROOT);
+      if (word.equals(text)) {
+        return constant;
+      }
+      words.add(word);
+    }
+    throw fail(key, "expected one of " + String.join(", ", words) + ", not \"" + text + "\"");
+  }
+
+  List<String> texts(String key, List<String> absent) throws ScriptException {
+    if (!has(key)) {
+      return absent;
+    }
+    List<String> out = new ArrayList<>();
+    if (table.get(List.of(key)) instanceof TomlArray array) {
+      for (int i = 0; i < array.size(); i++) {
+        if (!(array.get(i) instanceof String value) || value.isEmpty()) {
+          throw fail(key, "expected a list of texts");
+        }
+        out.add(value);
+      }
+      if (!out.isEmpty() && new HashSet<>(out).size() == out.size()) {
+        return List.copyOf(out);
+      }
+    }
+    throw fail(key, "expected a list of different texts, not empty");
+  }
+
+  /** A table within this one; an empty one where it is not given. */
+  Table table(String key) throws ScriptException {
+    if (!has(key)) {
+      return new Table(file, join(key), Toml.parse(""), line);
+    }
+    if (table.get(List.of(key)) instanceof TomlTable inner) {
+      return new Table(file, join(key), inner, lineOf(key));
+    }
+    throw fail(key, "expected a table");
+  }
+
+  /** The tables of an array of tables, in the order of the script. */
+  List<Table> tables(String key) throws ScriptException {
+    List<Table> out = new ArrayList<>();
+    if (has(key)) {
+      if (!(table.get(List.of(key)) instanceof TomlArray array)) {
+        throw fail(key, "expected tables headed [[" + key + "]]");
+      }
+      for (int i = 0; i < array.size(); i++) {
+        if (!(array.get(i) instanceof TomlTable inner)) {
+          throw fail(key, "expected tables headed [[" + key + "]]");
+        }
+        out.add(
+            new Table(
+                file, join(key) + "[" + (i + 1) + "]", inner, array.inputPositionOf(i).line()));
+      }
+    }
+    return out;
+  }
+
+  /** Refuses keys that nobody asked for: a misspelt one would otherwise be passed over. */
+  void noOthers() throws ScriptException {
+    for (String key : table.keySet()) {
+      if (!known.contains(key)) {
+        throw fail(key, "expected one of " + String.join(", ", new TreeSet<>(known)) + " here");
+      }
+    }
+  }
+
+  void require(String key, String expected) throws ScriptException {
+    if (!has(key)) {
+      throw fail(key, "is missing; expected " + expected);
+    }
+  }
+
+  ScriptException fail(String key, String expected) {
+    return new ScriptException(file, lineOf(key), join(key), expected);
+  }
+
+  /** The line of a key, or of the table where the key is not given. */
+  int lineOf(String key) {
+    TomlPosition position = table.inputPositionOf(List.of(key));
+    return position == null ? line : position.line();
+  }
+
+  private String join(String key) {
+    return path.isEmpty() ? key : path + "." + key;
+  }
+
+  private static double number(Object value) {
+    return value instanceof Number n ? n.doubleValue() : Double.NaN;
+  }
+
+  private static String plain(double value) {
+    return value == (long) value ? Long.toString((long) value) : Double.toString(value);
+  }
+}
--- a/src/main/java/hazelspoke/gateway/Gateway.java
+++ b/src/main/java/hazelspoke/gateway/Gateway.java
@@ -81,6 +81,28 @@
     return 0;
   }
 
+  /**
+   * Starts one in this process, with no warm-up and no signals: for those who bring both sides of
+   * it themselves. The caller ends it, by {@link #drain} or {@link #stop}.
+   *
+   * @throws IllegalStateException when it cannot start; the message is one line
+   */
+  public static Gateway open(Map<String, String> environment, PrintStream err) {
+    Gateway gateway;
+    try {
+      gateway = new Gateway(GatewayConfig.read(environment), err, Transport.TCP);
+    } catch (ConfigException e) {
+      throw new IllegalStateException(e.getMessage(), e);
+    }
+    try {
+      gateway.start();
+    } catch (IllegalStateException e) {
+      gateway.stop();
+      throw e;
+    }
+    return gateway;
+  }
+
   /** Starts everything and returns the address that clients can connect to. */
   SocketAddress start() {
     ChannelFuture binding = loop.submit(this::wire).syncUninterruptibly().getNow();
@@ -131,7 +153,7 @@
    * read again. A file that cannot be used changes nothing. On the loop, so that signals that come
    * close to one another are handled in turn; the file is small and lies in memory.
    */
-  void reload(Map<String, String> environment) {
+  public void reload(Map<String, String> environment) {
     loop.execute(
         () -> {
           try {
@@ -149,7 +171,7 @@
    * Takes leave: what has been taken and what still comes for a moment is served, and nothing new
    * after that. Returns when nothing is owed any more, or when it has to be over.
    */
-  void drain() {
+  public void drain() {
     long mostMs = (long) config.longestDeadlineMs() + DRAIN_MARGIN_MS;
     loop.execute(
         () -> {
@@ -168,7 +190,7 @@
   }
 
   /** Ends at once, with whatever is under way. */
-  void stop() {
+  public void stop() {
     group.shutdownGracefully(0, 0, TimeUnit.MILLISECONDS).awaitUninterruptibly();
   }
 
--- /dev/null
+++ b/src/test/java/hazelspoke/emulator/model/ModelsTest.java
@@ -0,0 +1,129 @@
+package hazelspoke.emulator.model;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import hazelspoke.emulator.model.Registry.Entry;
+import hazelspoke.emulator.model.Registry.Status;
+import hazelspoke.emulator.script.Script;
+import hazelspoke.emulator.script.ScriptReader;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+/** The smaller decisions of the emulator, each on a clock of the test's own. */
+class ModelsTest {
+  private static Entry entry(String name, Status status) {
+    return new Entry(name, "127.0.0.1:1", "a", "k", 0, status, 0, 0);
+  }
+
+  @Test
+  void aColdHostFallsByWhatComesWithinTheSpanAndNotByMoreOverLonger() {
+    ColdGuard calm = new ColdGuard(3, 3_000);
+    for (int t = 0; t < 60_000; t += 100) {
+      assertThat(calm.push(290, true, 1, t)).isFalse();
+    }
+    ColdGuard rushed = new ColdGuard(3, 3_000);
+    boolean fell = false;
+    for (int t = 0; t < 2_900; t += 100) {
+      fell |= rushed.push(t % 200 == 0 ? 500 : 300, t % 200 == 0, 1, t);
+    }
+    assertThat(fell).isTrue();
+    assertThat(rushed.toldShare()).isBetween(0.55, 0.7);
+  }
+
+  @Test
+  void newsComesLateInOrderAndIsOvertakenByWhatIsNewer() {
+    Registry registry = new Registry();
+    registry.put(entry("a", Status.READY));
+    registry.put(entry("b", Status.READY));
+    registry.announce(entry("a", Status.GONE), 0, 2_000);
+    assertThat(registry.advance(1_999)).isEmpty();
+    assertThat(registry.advance(2_000)).extracting(Entry::name).containsExactly("a");
+    assertThat(registry.all()).extracting(Entry::name).containsExactly("b");
+    assertThat(registry.since(1)).extracting(Entry::status).containsExactly(Status.GONE);
+    assertThat(registry.since(registry.index())).isEmpty();
+    assertThat(registry.since(0)).hasSize(1);
+    registry.late(5_000);
+    registry.announce(entry("b", Status.GONE), 3_000, 1_000);
+    registry.late(0);
+    registry.announce(entry("b", Status.READY), 3_100, 500);
+    assertThat(registry.advance(60_000)).extracting(Entry::status).containsExactly(Status.READY);
+  }
+
+  @Test
+  void callsToDiscoveryWaitTheirTurnOrAreTurnedAway() {
+    CallQueue queue = new CallQueue(100, 40, 1_000);
+    assertThat(queue.call(10, 0)).isEqualTo(500);
+    assertThat(queue.call(10, 0)).isEqualTo(1_000);
+    assertThat(queue.call(10, 0)).isNaN();
+    assertThat(queue.call(10, 900)).isEqualTo(1_500);
+    assertThat(new CallQueue(0, 40, 1_000).call(500, 7)).isEqualTo(7);
+  }
+
+  @Test
+  void aKeyRunsOnceWithinItsWindow() {
+    RepeatMemory memory = new RepeatMemory(1_500);
+    assertThat(memory.first("k", 0)).isTrue();
+    assertThat(memory.first("k", 1_500)).isFalse();
+    assertThat(memory.first("k", 1_501)).isTrue();
+  }
+
+  private static Script script(String more) throws Exception {
+    return ScriptReader.read(
+        "x", "length_s = 60\n[load]\nrate = 100\nkeys = 50\nshape = \"bursty\"\n" + more);
+  }
+
+  @Test
+  void oneSeedMakesOneWorldAndAnotherAnother() throws Exception {
+    String more = "[[fault]]\nwhat = \"crash\"\nat_s = 1\nfor_s = 1\nshare = 0.4\n";
+    World world = World.draw(script(more), 7);
+    World again = World.draw(script(more), 7);
+    assertThat(again).isEqualTo(world);
+    assertThat(World.draw(script(more), 8).digest()).isNotEqualTo(world.digest());
+    assertThat(World.draw(script(""), 7).digest()).isNotEqualTo(world.digest());
+    assertThat(world.struck().get(0)).hasSize(5);
+  }
+
+  @Test
+  void theLoadIsWhatTheScriptSays() throws Exception {
+    World world = World.draw(script("[[load.surge]]\nat_s = 30\nfor_s = 30\nfactor = 2\n"), 3);
+    List<Arrival> all = world.arrivals();
+    assertThat(all).isSortedAccordingTo((a, b) -> Double.compare(a.atMs(), b.atMs()));
+    long first = all.stream().filter(a -> a.atMs() < 30_000).count();
+    assertThat(first).isBetween(2_500L, 3_500L);
+    assertThat((double) (all.size() - first) / first).isBetween(1.7, 2.3);
+    double reserves = all.stream().filter(a -> a.requestClass() == 0).count();
+    assertThat(reserves / all.size()).isBetween(0.67, 0.75);
+    double work =
+        all.stream().filter(a -> a.requestClass() == 0).mapToDouble(Arrival::workMs).sum();
+    assertThat(work / reserves).isBetween(95.0, 115.0);
+    // Zipf with exponent 1 over 50 keys: the first has 22 %, the second half of that.
+    double top = all.stream().filter(a -> a.key() == 0).count();
+    double second = all.stream().filter(a -> a.key() == 1).count();
+    assertThat(top / all.size()).isBetween(0.2, 0.25);
+    assertThat(second / top).isBetween(0.42, 0.58);
+  }
+
+  @Test
+  void aHeavyTailStrikesItsShareOfItsClassInItsTime() throws Exception {
+    String tail =
+        "[[fault]]\nwhat = \"heavy_tail\"\nat_s = 20\nfor_s = 20\nclass = \"dispatch\"\n"
+            + "rate = 0.1\nfactor = 1000\n";
+    World calm = World.draw(script(""), 5);
+    World struck = World.draw(script(tail), 5);
+    int heavy = 0;
+    int within = 0;
+    for (int i = 0; i < calm.arrivals().size(); i++) {
+      Arrival a = calm.arrivals().get(i);
+      Arrival b = struck.arrivals().get(i);
+      assertThat(b.atMs()).isEqualTo(a.atMs());
+      boolean may = a.requestClass() == 1 && a.atMs() >= 20_000 && a.atMs() < 40_000;
+      within += may ? 1 : 0;
+      if (b.workMs() != a.workMs()) {
+        assertThat(may).isTrue();
+        assertThat(b.workMs() / a.workMs()).isBetween(999.0, 1_001.0);
+        heavy++;
+      }
+    }
+    assertThat((double) heavy / within).isBetween(0.06, 0.14);
+  }
+}
