Hold scripted faults against signals; tell what each fault did; warm the emulator up

Need: a rehearsed incident has to make the gateway behave as the real fault does, and the emulator must not flatter or blame anybody by its own lateness. Change: `compare` plays crashes and freezes by script and by SIGKILL, SIGSTOP and SIGCONT in turns; reports have, for each fault and host, the requests caught and what became of them, the time to be passed over and to be taken back. Plots by the second, gateways' CPU, memory and descriptors by 5 s.

--- a/src/main/java/hazelspoke/Commands.java
+++ b/src/main/java/hazelspoke/Commands.java
@@ -25,6 +25,7 @@
     subcommands = {
       DemoCommand.class,
       RehearseCommand.class,
+      CompareCommand.class,
       ServeCommand.class,
       AdapterCommand.class,
       ArchiveCommand.class,
--- /dev/null
+++ b/src/main/java/hazelspoke/CompareCommand.java
@@ -0,0 +1,95 @@
+package hazelspoke;
+
+import hazelspoke.emulator.model.World;
+import hazelspoke.emulator.report.Comparison;
+import hazelspoke.emulator.report.Results;
+import hazelspoke.emulator.report.TextReport;
+import hazelspoke.emulator.script.Fault;
+import hazelspoke.emulator.script.Script;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.TreeSet;
+import java.util.concurrent.Callable;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Option;
+import picocli.CommandLine.Parameters;
+
+/** Holds a script's faults against real ones. */
+@Command(
+    name = "compare",
+    mixinStandardHelpOptions = true,
+    description = {
+      "Play an incident with the script's own crashes and freezes, and again with the same hosts as"
+          + " processes that get SIGKILL, SIGSTOP and SIGCONT; print what the gateways did in both.",
+      "The plays take turns, so that whatever else the machine does strikes both."
+    },
+    exitCodeListHeading = "Exit codes:%n",
+    exitCodeList = {
+      "0:every rule was kept in all plays",
+      "1:the script cannot be played",
+      "2:a wrong call",
+      "3:a rule was broken, or a gateway crashed",
+      "4:the emulator itself ran late in one of them"
+    })
+final class CompareCommand implements Callable<Integer> {
+  @Parameters(
+      paramLabel = "SCRIPT",
+      description = "A script whose faults of hosts are crashes and freezes.")
+  private Path script;
+
+  @Option(
+      names = "--seed",
+      paramLabel = "N",
+      description = "What chance draws from; default ${DEFAULT-VALUE}.")
+  private long seed = 1;
+
+  @Option(
+      names = "--plays",
+      paramLabel = "N",
+      description = "How often each is played; default ${DEFAULT-VALUE}.")
+  private int plays = 3;
+
+  @Override
+  public Integer call() throws Exception {
+    World world = Scripts.world(script, seed, System.err);
+    if (world == null) {
+      return Scripts.BAD_SCRIPT;
+    }
+    TreeSet<String> struck = new TreeSet<>();
+    for (int i = 0; i < world.struck().size(); i++) {
+      Fault.Kind kind = world.script().faults().get(i).kind();
+      if (kind == Fault.Kind.CRASH || kind == Fault.Kind.FREEZE) {
+        struck.addAll(world.struck().get(i));
+      } else if (kind.subject() == Fault.Subject.HOSTS) {
+        System.err.println(
+            "pumicetray: "
+                + script
+                + ":"
+                + world.script().faults().get(i).line()
+                + ": a signal can do no more than crash and freeze");
+        return Scripts.BAD_SCRIPT;
+      }
+    }
+    Scripts.warmUp(System.out);
+    List<Results> scripted = new ArrayList<>();
+    List<Results> real = new ArrayList<>();
+    int status = Scripts.KEPT;
+    for (int i = 0; i < Math.max(1, plays); i++) {
+      scripted.add(play(world.script().withApart(List.of())));
+      real.add(play(world.script().withApart(List.copyOf(struck))));
+      status = Math.max(status, Scripts.status(scripted.get(i)));
+      status = Math.max(status, Scripts.status(real.get(i)));
+    }
+    System.out.println(Comparison.of(scripted, real));
+    return status;
+  }
+
+  private Results play(Script of) throws Exception {
+    Results results = Scripts.play(World.draw(of, seed), script, System.out);
+    new TextReport(System.out).verdict(results);
+    System.out.println(
+        of.fleet().apart().isEmpty() ? "that was the script" : "that were the signals");
+    return results;
+  }
+}
--- a/src/main/java/hazelspoke/DemoCommand.java
+++ b/src/main/java/hazelspoke/DemoCommand.java
@@ -31,6 +31,7 @@
     if (world == null) {
       return Scripts.BAD_SCRIPT;
     }
+    Scripts.warmUp(System.out);
     Results results = Scripts.play(world, script, System.out);
     return Scripts.report(results, null, html, System.out);
   }
--- a/src/main/java/hazelspoke/RehearseCommand.java
+++ b/src/main/java/hazelspoke/RehearseCommand.java
@@ -60,6 +60,7 @@
     if (world == null) {
       return Scripts.BAD_SCRIPT;
     }
+    Scripts.warmUp(System.out);
     List<Results> all = new ArrayList<>();
     int status = Scripts.KEPT;
     for (int i = 0; i < Math.max(1, repeat); i++) {
--- a/src/main/java/hazelspoke/Scripts.java
+++ b/src/main/java/hazelspoke/Scripts.java
@@ -6,6 +6,7 @@
 import hazelspoke.emulator.report.Results;
 import hazelspoke.emulator.report.TextReport;
 import hazelspoke.emulator.run.ApartHosts;
+import hazelspoke.emulator.run.EmulatorWarmUp;
 import hazelspoke.emulator.run.GatewayLauncher;
 import hazelspoke.emulator.run.LocalGateways;
 import hazelspoke.emulator.run.ProcessGateways;
@@ -41,27 +42,25 @@
     return null;
   }
 
-  /** Plays a world once, in a folder of its own that goes with it. */
-  static Results play(World world, Path script, PrintStream progress)
-      throws IOException, InterruptedException {
+  /** Lets the emulator's own code be compiled before anything counts. */
+  static void warmUp(PrintStream progress) throws IOException, InterruptedException {
+    progress.println("warming up the emulator, 4 s");
+    inFolder(
+        folder -> {
+          EmulatorWarmUp.run(folder);
+          return null;
+        });
+  }
+
+  private interface Play {
+    Results in(Path folder) throws IOException, InterruptedException;
+  }
+
+  /** A folder that goes with what was done in it. */
+  private static Results inFolder(Play play) throws IOException, InterruptedException {
     Path folder = Files.createTempDirectory("rehearsal");
     try {
-      Files.copy(script, folder.resolve("script.toml"));
-      Path home = Path.of(System.getProperty("pumicetray.home", "."));
-      GatewayLauncher launcher =
-          world.script().fleet().inProcess()
-              ? new LocalGateways()
-              : new ProcessGateways(home, world.script().fleet().sockets());
-      List<String> self =
-          List.of(
-              ProcessHandle.current().info().command().orElse("java"),
-              "-XX:+UseSerialGC",
-              "-XX:TieredStopAtLevel=1",
-              "-cp",
-              System.getProperty("java.class.path"),
-              "hazelspoke.Main");
-      ApartHosts apart = new ApartHosts(self, folder, world.seed());
-      return new Rehearsal(world, launcher, apart, folder, progress).run();
+      return play.in(folder);
     } finally {
       try (Stream<Path> files = Files.walk(folder)) {
         for (Path file : files.sorted(Comparator.reverseOrder()).toList()) {
@@ -71,6 +70,32 @@
     }
   }
 
+  /** Plays a world once, in a folder of its own that goes with it. */
+  static Results play(World world, Path script, PrintStream progress)
+      throws IOException, InterruptedException {
+    return inFolder(folder -> play(world, script, progress, folder));
+  }
+
+  private static Results play(World world, Path script, PrintStream progress, Path folder)
+      throws IOException, InterruptedException {
+    Files.copy(script, folder.resolve("script.toml"));
+    Path home = Path.of(System.getProperty("pumicetray.home", "."));
+    GatewayLauncher launcher =
+        world.script().fleet().inProcess()
+            ? new LocalGateways()
+            : new ProcessGateways(home, world.script().fleet().sockets());
+    List<String> self =
+        List.of(
+            ProcessHandle.current().info().command().orElse("java"),
+            "-XX:+UseSerialGC",
+            "-XX:TieredStopAtLevel=1",
+            "-cp",
+            System.getProperty("java.class.path"),
+            "hazelspoke.Main");
+    ApartHosts apart = new ApartHosts(self, folder, world.seed());
+    return new Rehearsal(world, launcher, apart, folder, progress).run();
+  }
+
   /** Prints the results, writes the files that are asked for, and returns the exit status. */
   static int report(Results results, Path json, Path html, PrintStream out) throws IOException {
     new TextReport(out).print(results);
--- a/src/main/java/hazelspoke/emulator/net/Discovery.java
+++ b/src/main/java/hazelspoke/emulator/net/Discovery.java
@@ -39,6 +39,9 @@
  * once.
  */
 public final class Discovery {
+  /** How many times as long a gateway may wait before it asks again, after a call that failed. */
+  private static final double AFTER_FAILURE = 4;
+
   private static final double TICK_MS = 50;
   private static final double BEAT_MS = 2_000;
 
@@ -126,9 +129,15 @@
     stage.at(now + TICK_MS, this::tick);
   }
 
-  /** One that has not asked since counts as told; while discovery is down there is no asking. */
+  /** One that has not asked since counts as told; after a call that failed it has longer. */
   private void countAsTold(Desk desk, List<Entry> news, double since) {
-    if (!down && desk.watches.isEmpty() && desk.heardAt < since) {
+    if (!desk.watches.isEmpty() || desk.heardAt >= since) {
+      return;
+    }
+    double mayWait = AFTER_FAILURE * mustAskMs;
+    if (desk.failedAt >= since && stage.now() < since + mayWait) {
+      stage.at(since + mayWait, () -> countAsTold(desk, news, since));
+    } else {
       for (Entry e : news) {
         ledger.told(desk.gateway, e.name(), e.status() == Status.READY, stage.now());
       }
@@ -206,6 +215,7 @@
     private final Set<String> told = new HashSet<>();
     private Channel listener;
     private double heardAt = Double.NEGATIVE_INFINITY;
+    private double failedAt = Double.NEGATIVE_INFINITY;
 
     Desk(int gateway) {
       this.gateway = gateway;
@@ -280,6 +290,7 @@
       double now = stage.now();
       double at = down ? Double.NaN : queue.call(registry.since(since).size(), now);
       if (Double.isNaN(at)) {
+        desk.failedAt = now;
         ctx.writeAndFlush(Wire.answer(HttpResponseStatus.SERVICE_UNAVAILABLE, ""))
             .addListener(ChannelFutureListener.CLOSE);
       } else {
@@ -289,6 +300,7 @@
 
     private void answer(Channel channel, boolean watch, long since) {
       if (!channel.isActive() || down) {
+        desk.failedAt = stage.now();
         channel.close();
         return;
       }
--- a/src/main/java/hazelspoke/emulator/net/Host.java
+++ b/src/main/java/hazelspoke/emulator/net/Host.java
@@ -227,10 +227,21 @@
         c.call.attempt.end(AttemptEnd.RESET, stage.now());
       }
     }
+    openBlackHole(BIND_TRIES);
+  }
+
+  private void openBlackHole(int tries) {
+    if (up) {
+      return;
+    }
     try {
       blackHole = new BlackHole(address);
     } catch (IOException e) {
-      throw new IllegalStateException(name + " cannot vanish from " + address, e);
+      if (tries == 0) {
+        stage.fail(name + " cannot vanish from " + address, e);
+      } else {
+        stage.at(stage.now() + BIND_AGAIN_MS, () -> openBlackHole(tries - 1));
+      }
     }
   }
 
@@ -241,7 +252,7 @@
       try {
         blackHole.close();
       } catch (IOException e) {
-        throw new IllegalStateException(name + " cannot come back to " + address, e);
+        stage.fail(name + " cannot come back to " + address, e);
       }
       blackHole = null;
     }
--- a/src/main/java/hazelspoke/emulator/net/Stage.java
+++ b/src/main/java/hazelspoke/emulator/net/Stage.java
@@ -18,11 +18,16 @@
   /** A beat missed by more than this: the loop, or its whole process, stood still. */
   private static final double STALL_MS = 15;
 
+  /** For this long after a stall, what is read may have waited through it. */
+  private static final double CATCH_UP_MS = 30;
+
   private final EventLoop loop;
   private final long zero;
   private final long zeroUnixMs;
   private final CompletableFuture<Void> failure = new CompletableFuture<>();
   private double beatAt;
+  private double stallFrom;
+  private double stallUntil = Double.NEGATIVE_INFINITY;
 
   /** A clock that begins now. */
   public Stage(EventLoop loop) {
@@ -67,17 +72,25 @@
   }
 
   private void nextBeat(DoubleConsumer lateness) {
-    lateness.accept(Math.max(0, now() - beatAt - BEAT_MS));
+    double now = now();
+    lateness.accept(Math.max(0, now - beatAt - BEAT_MS));
+    if (now - beatAt > STALL_MS) {
+      stallFrom = beatAt;
+      stallUntil = now;
+    }
     beat(lateness);
   }
 
   /**
    * The soonest that what is read now can have been sent: now, or the last moment before a stall
-   * for which nobody here looked.
+   * for which nobody here looked. What came on new connections is read some turns after the stall.
    */
   public double earliest() {
     double now = now();
-    return now - beatAt > STALL_MS ? beatAt : now;
+    if (now - beatAt > STALL_MS) {
+      return beatAt;
+    }
+    return now - stallUntil < CATCH_UP_MS ? stallFrom : now;
   }
 
   /** The emulator itself cannot go on. */
--- /dev/null
+++ b/src/main/java/hazelspoke/emulator/report/Comparison.java
@@ -0,0 +1,92 @@
+package hazelspoke.emulator.report;
+
+import hazelspoke.emulator.judge.Effect;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+
+/** Two plays of one incident side by side: the script's own faults, and signals to processes. */
+public final class Comparison {
+  private final StringBuilder out = new StringBuilder();
+
+  private Comparison() {}
+
+  /**
+   * A table of what the gateways did in both.
+   *
+   * @param scripted the plays with faults of emulated hosts
+   * @param real the plays with hosts that got signals
+   */
+  public static String of(List<Results> scripted, List<Results> real) {
+    Comparison c = new Comparison();
+    c.out.append(
+        String.format(
+            Locale.ROOT,
+            "%n%-44s %12s %12s %12s%n",
+            "median of " + scripted.size() + " plays each",
+            "script",
+            "signals",
+            "difference"));
+    for (String name : scripted.get(0).classes().keySet()) {
+      c.shares(name, scripted, real);
+    }
+    for (int f = 0; f < scripted.get(0).faults().size(); f++) {
+      for (int h = 0; h < scripted.get(0).faults().get(f).effects().size(); h++) {
+        c.effect(f, h, scripted, real);
+      }
+    }
+    return c.out.toString();
+  }
+
+  private interface Figure {
+    double of(Results r);
+  }
+
+  private void shares(String name, List<Results> scripted, List<Results> real) {
+    row(name + ": served in time, %", scripted, real, r -> share(r, name, type(r, name).inTime()));
+    row(name + ": served, %", scripted, real, r -> share(r, name, type(r, name).served()));
+    row(name + ": refused, %", scripted, real, r -> share(r, name, type(r, name).refused()));
+    row(name + ": failed, %", scripted, real, r -> share(r, name, type(r, name).failed()));
+    row(name + ": p50, ms", scripted, real, r -> type(r, name).p50Ms());
+    row(name + ": p99, ms", scripted, real, r -> type(r, name).p99Ms());
+  }
+
+  private static Results.ClassResult type(Results r, String name) {
+    return r.classes().get(name);
+  }
+
+  private static double share(Results r, String name, int count) {
+    return 100.0 * count / Math.max(1, type(r, name).asked());
+  }
+
+  private void effect(int fault, int host, List<Results> scripted, List<Results> real) {
+    Results.FaultNote note = scripted.get(0).faults().get(fault);
+    String what = note.what().split(" ")[0] + " " + note.effects().get(host).host() + ": ";
+    row(what + "requests caught", scripted, real, r -> at(r, fault, host).caught());
+    row(what + "of them served", scripted, real, r -> at(r, fault, host).served());
+    row(what + "of them failed", scripted, real, r -> at(r, fault, host).failed());
+    row(what + "passed over, ms", scripted, real, r -> at(r, fault, host).passedOverMs());
+    row(what + "taken back, ms", scripted, real, r -> at(r, fault, host).takenBackMs());
+  }
+
+  private static Effect at(Results r, int fault, int host) {
+    return r.faults().get(fault).effects().get(host);
+  }
+
+  private void row(String name, List<Results> scripted, List<Results> real, Figure figure) {
+    double a = median(scripted, figure);
+    double b = median(real, figure);
+    out.append(
+        String.format(Locale.ROOT, "%-44s %12s %12s %12s%n", name, text(a), text(b), text(b - a)));
+  }
+
+  private static double median(List<Results> plays, Figure figure) {
+    List<Double> values = new ArrayList<>();
+    plays.forEach(r -> values.add(figure.of(r)));
+    return new Quantiles(values.stream().mapToDouble(Double::doubleValue).toArray()).at(0.5);
+  }
+
+  private static String text(double value) {
+    return Double.isNaN(value) ? "-" : String.format(Locale.ROOT, "%.1f", value);
+  }
+}
--- a/src/main/java/hazelspoke/emulator/report/HtmlReport.java
+++ b/src/main/java/hazelspoke/emulator/report/HtmlReport.java
@@ -15,7 +15,6 @@
  */
 public final class HtmlReport {
   private static final double MS = 1_000;
-  private static final double WINDOW_MS = 5_000;
   private static final int MOST_BREACHES = 50;
   private static final int MOST_LINES = 12;
 
@@ -125,26 +124,25 @@
   }
 
   private void outcomes() {
-    add("<h2>What became of the requests</h2><p class='soft'>By the 5 s in which they were due");
+    add("<h2>What became of the requests</h2><p class='soft'>By the second in which they were due");
     for (Part part : PARTS) {
       add("<span class='key' style='background:%s'></span>%s", part.colour(), part.name());
     }
     add("</p>");
-    double most = r.windows().stream().mapToDouble(Results.Window::asked).max().orElse(1);
-    Plot plot = new Plot(230, r.script().lengthMs(), most / WINDOW_MS * MS);
+    double most = r.seconds().stream().mapToDouble(Results.Window::asked).max().orElse(1);
+    Plot plot = new Plot(230, r.script().lengthMs(), most);
     plot.axes("a second");
-    for (Results.Window w : r.windows()) {
+    for (Results.Window w : r.seconds()) {
       double below = 0;
-      double spanMs = Math.min(WINDOW_MS, r.script().lengthMs() - w.fromMs());
       for (Part part : PARTS) {
-        double value = part.of().applyAsDouble(w) / spanMs * MS;
+        double value = part.of().applyAsDouble(w);
         plot.add(
-            "<rect fill='%s' x='%.1f' y='%.1f' width='%.1f' height='%.1f'><title>%s: %.1f a"
+            "<rect fill='%s' x='%.1f' y='%.1f' width='%.1f' height='%.1f'><title>%s: %.0f a"
                 + " second</title></rect>",
             part.colour(),
-            plot.x(w.fromMs()) + 1,
+            plot.x(w.fromMs()),
             plot.y(below + value),
-            plot.x(w.fromMs() + spanMs) - plot.x(w.fromMs()) - 2,
+            plot.x(w.fromMs() + MS) - plot.x(w.fromMs()) - 0.6,
             plot.y(below) - plot.y(below + value),
             part.name(),
             value);
@@ -160,17 +158,22 @@
         "<h2>How long the served ones took</h2><p class='soft'>From the moment they were due"
             + " <span class='key' style='background:#4a74c9'></span>half of them (p50)"
             + " <span class='key' style='background:#b3261e'></span>99 of 100 (p99)</p>");
-    double most = r.windows().stream().mapToDouble(Results.Window::p99Ms).max().orElse(1);
+    double most =
+        r.seconds().stream()
+            .mapToDouble(Results.Window::p99Ms)
+            .filter(v -> !Double.isNaN(v))
+            .max()
+            .orElse(1);
     Plot plot = new Plot(210, r.script().lengthMs(), most);
     plot.axes("ms");
     plot.faults(r.faults());
-    plot.line("#4a74c9", WINDOW_MS / 2, WINDOW_MS, column(Results.Window::p50Ms));
-    plot.line("#b3261e", WINDOW_MS / 2, WINDOW_MS, column(Results.Window::p99Ms));
+    plot.line("#4a74c9", MS / 2, MS, column(Results.Window::p50Ms));
+    plot.line("#b3261e", MS / 2, MS, column(Results.Window::p99Ms));
     page.append(plot.done());
   }
 
   private double[] column(ToDoubleFunction<Results.Window> of) {
-    return r.windows().stream().mapToDouble(of).toArray();
+    return r.seconds().stream().mapToDouble(of).toArray();
   }
 
   /** A row a host, a column a second: the darker, the more it holds. */
@@ -240,11 +243,15 @@
 
   private void faults() {
     if (!r.faults().isEmpty()) {
-      add("<h2>The script</h2><table><tr><th>from</th><th>to</th><th class='left'>what</th></tr>");
+      add(
+          "<h2>The script</h2><table><tr><th>from</th><th>to</th><th class='left'>what</th><th class='left'>what came of it</th></tr>");
       for (Results.FaultNote f : r.faults()) {
         add(
-            "<tr><td>%.1f s</td><td>%.1f s</td><td class='left'>%s</td></tr>",
-            f.atMs() / MS, f.endMs() / MS, Html.escape(f.what()));
+            "<tr><td>%.1f s</td><td>%.1f s</td><td class='left'>%s</td><td class='left'>%s</td></tr>",
+            f.atMs() / MS,
+            f.endMs() / MS,
+            Html.escape(f.what()),
+            Html.escape(EffectWords.of(f.effects())));
       }
       add("</table>");
     }
--- a/src/main/java/hazelspoke/emulator/report/JsonReport.java
+++ b/src/main/java/hazelspoke/emulator/report/JsonReport.java
@@ -3,6 +3,7 @@
 import com.fasterxml.jackson.core.JsonFactory;
 import com.fasterxml.jackson.core.JsonGenerator;
 import hazelspoke.emulator.judge.Breach;
+import hazelspoke.emulator.judge.Effect;
 import hazelspoke.emulator.judge.Rule;
 import java.io.IOException;
 import java.io.StringWriter;
@@ -106,6 +107,19 @@
       number(g, "at_s", f.atMs() / 1_000);
       number(g, "end_s", f.endMs() / 1_000);
       g.writeStringField("what", f.what());
+      g.writeArrayFieldStart("hosts");
+      for (Effect e : f.effects()) {
+        g.writeStartObject();
+        g.writeStringField("name", e.host());
+        g.writeNumberField("caught", e.caught());
+        g.writeNumberField("served", e.served());
+        g.writeNumberField("refused", e.refused());
+        g.writeNumberField("failed", e.failed());
+        number(g, "passed_over_ms", e.passedOverMs());
+        number(g, "taken_back_ms", e.takenBackMs());
+        g.writeEndObject();
+      }
+      g.writeEndArray();
       g.writeEndObject();
     }
     g.writeEndArray();
--- a/src/main/java/hazelspoke/emulator/report/Plot.java
+++ b/src/main/java/hazelspoke/emulator/report/Plot.java
@@ -22,7 +22,7 @@
   Plot(int height, double lengthMs, double most) {
     this.height = height;
     this.lengthMs = lengthMs;
-    this.most = most > 0 ? most : 1;
+    this.most = most > 0 ? nice(most) : 1;
   }
 
   double x(double ms) {
@@ -56,8 +56,9 @@
           LEFT, WIDTH - RIGHT, y(value), y(value));
       add(
           "<text class='tick' text-anchor='end' x='%d' y='%.1f'>%s</text>",
-          LEFT - 6, y(value) + 4, label(value) + (i == 4 ? " " + unit : ""));
+          LEFT - 6, y(value) + 4, label(value));
     }
+    add("<text class='tick' x='%d' y='10'>%s</text>", LEFT + 2, unit);
     time();
   }
 
@@ -96,6 +97,17 @@
         Locale.ROOT, "<svg viewBox='0 0 %d %d' role='img'>%n%s</svg>%n", WIDTH, height, svg);
   }
 
+  /** The next round figure above, so that the marks are round as well. */
+  private static double nice(double value) {
+    double power = Math.pow(10, Math.floor(Math.log10(value)));
+    for (double m : new double[] {1, 1.2, 1.6, 2, 2.4, 3.2, 4, 5, 6, 8}) {
+      if (m * power >= value) {
+        return m * power;
+      }
+    }
+    return 10 * power;
+  }
+
   private static double step(double about) {
     double power = Math.pow(10, Math.floor(Math.log10(Math.max(1e-9, about))));
     for (double m : new double[] {1, 2, 5}) {
--- a/src/main/java/hazelspoke/emulator/report/Results.java
+++ b/src/main/java/hazelspoke/emulator/report/Results.java
@@ -1,6 +1,7 @@
 package hazelspoke.emulator.report;
 
 import hazelspoke.emulator.judge.Breach;
+import hazelspoke.emulator.judge.Effect;
 import hazelspoke.emulator.judge.Rule;
 import hazelspoke.emulator.script.Script;
 import java.util.EnumMap;
@@ -10,6 +11,8 @@
 /**
  * What a rehearsal came to. Times are in milliseconds since the start of the load.
  *
+ * @param windows by 5 s
+ * @param seconds the same by the second
  * @param digest of all that was fixed before the start
  * @param crashes gateways that ended by themselves
  * @param hosts the names in the order of {@code queues}
@@ -20,6 +23,7 @@
     long seed,
     String digest,
     List<Window> windows,
+    List<Window> seconds,
     Map<String, ClassResult> classes,
     List<Breach> breaches,
     int crashes,
@@ -76,8 +80,12 @@
       double[] memoryMb,
       double[] descriptors) {}
 
-  /** A fault in words. */
-  public record FaultNote(double atMs, double endMs, String what) {}
+  /** A fault in words, and what it did by the hosts that it struck. */
+  public record FaultNote(double atMs, double endMs, String what, List<Effect> effects) {
+    public FaultNote {
+      effects = List.copyOf(effects);
+    }
+  }
 
   /** Breaches by rule, also of rules that were kept. */
   public Map<Rule, Integer> rules() {
--- a/src/main/java/hazelspoke/emulator/report/Tally.java
+++ b/src/main/java/hazelspoke/emulator/report/Tally.java
@@ -10,8 +10,11 @@
 
 /** Counts outcomes by time and by class: a function, whose sums always add up. */
 public final class Tally {
+  /** The span of the tables, and the finer one of the plots. */
   public static final double WINDOW_MS = 5_000;
 
+  public static final double PLOT_MS = 1_000;
+
   private final Script script;
   private final List<Outcome> outcomes;
 
@@ -23,19 +26,19 @@
     this.outcomes = List.copyOf(outcomes);
   }
 
-  /** The whole length in spans of 5 s, by the moment a request was planned for. */
-  public List<Results.Window> windows() {
-    int count = (int) Math.ceil(script.lengthMs() / WINDOW_MS);
+  /** The whole length in spans of this many milliseconds, by the moment of planned asking. */
+  public List<Results.Window> windows(double spanMs) {
+    int count = (int) Math.ceil(script.lengthMs() / spanMs);
     List<List<Outcome>> spans = new ArrayList<>();
     for (int i = 0; i < count; i++) {
       spans.add(new ArrayList<>());
     }
     for (Outcome o : outcomes) {
-      spans.get((int) (o.arrival().atMs() / WINDOW_MS)).add(o);
+      spans.get((int) (o.arrival().atMs() / spanMs)).add(o);
     }
     List<Results.Window> out = new ArrayList<>();
     for (int i = 0; i < count; i++) {
-      out.add(window(i * WINDOW_MS, spans.get(i)));
+      out.add(window(i * spanMs, spans.get(i)));
     }
     return out;
   }
--- a/src/main/java/hazelspoke/emulator/report/TextReport.java
+++ b/src/main/java/hazelspoke/emulator/report/TextReport.java
@@ -10,6 +10,7 @@
 public final class TextReport {
   private static final double MS = 1_000;
   private static final int MOST_BREACHES = 10;
+  private static final int MOST_GATEWAYS = 6;
 
   private final PrintStream out;
 
@@ -20,7 +21,9 @@
   public void print(Results r) {
     windows(r);
     classes(r);
+    faults(r);
     gateways(r);
+    processes(r);
     verdict(r);
   }
 
@@ -76,27 +79,69 @@
         r.attempts(), r.repeats());
   }
 
+  private void faults(Results r) {
+    for (Results.FaultNote f : r.faults()) {
+      if (!f.effects().isEmpty()) {
+        line("%6.1f s  %s: %s", f.atMs() / MS, f.what(), EffectWords.of(f.effects()));
+      }
+    }
+  }
+
   private void gateways(Results r) {
     line("");
     line(
         "%-8s %-14s %7s %9s %9s %9s %9s %11s",
         "gateway", "site", "asked", "answered", "cpu mean", "cpu max", "MB max", "descriptors");
     for (Results.GatewayResult g : r.gateways()) {
-      double[] cpu = Arrays.stream(g.cpu()).filter(v -> !Double.isNaN(v)).toArray();
       line(
           "%-8s %-14s %7d %9d %9s %9s %9s %11s",
           g.name(),
           g.site(),
           g.asked(),
           g.answered(),
-          figure(Arrays.stream(cpu).average().orElse(Double.NaN), "%.2f"),
+          figure(mean(g.cpu()), "%.2f"),
           figure(max(g.cpu()), "%.2f"),
           figure(max(g.memoryMb()), "%.0f"),
           figure(max(g.descriptors()), "%.0f"));
     }
   }
 
-  private void verdict(Results r) {
+  /** Every gateway by 5 s, where they are few enough for a line. */
+  private void processes(Results r) {
+    boolean known = r.gateways().stream().anyMatch(g -> !Double.isNaN(max(g.memoryMb())));
+    if (!known || r.gateways().size() > MOST_GATEWAYS) {
+      return;
+    }
+    line("");
+    StringBuilder head = new StringBuilder(String.format(Locale.ROOT, "%8s", "from"));
+    for (Results.GatewayResult g : r.gateways()) {
+      head.append(String.format(Locale.ROOT, " |%18s", g.name() + " cpu   MB  fds"));
+    }
+    line("%s", head);
+    for (Results.Window w : r.windows()) {
+      int from = (int) (w.fromMs() / MS);
+      int to = from + (int) (Tally.WINDOW_MS / MS);
+      StringBuilder row = new StringBuilder(String.format(Locale.ROOT, "%6d s", from));
+      for (Results.GatewayResult g : r.gateways()) {
+        row.append(
+            String.format(
+                Locale.ROOT,
+                " |%8s %4s %4s",
+                figure(mean(part(g.cpu(), from, to)), "%.2f"),
+                figure(max(part(g.memoryMb(), from, to)), "%.0f"),
+                figure(max(part(g.descriptors(), from, to)), "%.0f")));
+      }
+      line("%s", row);
+    }
+  }
+
+  private static double[] part(double[] bySecond, int from, int to) {
+    return Arrays.copyOfRange(
+        bySecond, Math.min(from, bySecond.length), Math.min(to, bySecond.length));
+  }
+
+  /** Only the rules, and how late the emulator was. */
+  public void verdict(Results r) {
     line("");
     for (Breach b : r.breaches().stream().limit(MOST_BREACHES).toList()) {
       line("BROKEN %s: %s at %.0f ms: %s", b.rule().word(), b.txn(), b.atMs(), b.what());
@@ -123,6 +168,10 @@
     out.println(String.format(Locale.ROOT, format, values).stripTrailing());
   }
 
+  private static double mean(double[] values) {
+    return Arrays.stream(values).filter(v -> !Double.isNaN(v)).average().orElse(Double.NaN);
+  }
+
   private static double max(double[] values) {
     return Arrays.stream(values).filter(v -> !Double.isNaN(v)).max().orElse(Double.NaN);
   }
--- a/src/main/java/hazelspoke/emulator/run/Rehearsal.java
+++ b/src/main/java/hazelspoke/emulator/run/Rehearsal.java
@@ -1,5 +1,6 @@
 package hazelspoke.emulator.run;
 
+import hazelspoke.emulator.judge.Effect;
 import hazelspoke.emulator.judge.Judge;
 import hazelspoke.emulator.judge.Ledger;
 import hazelspoke.emulator.model.Arrival;
@@ -14,6 +15,7 @@
 import hazelspoke.emulator.net.StockHost;
 import hazelspoke.emulator.report.Results;
 import hazelspoke.emulator.report.Tally;
+import hazelspoke.emulator.script.Fault;
 import hazelspoke.emulator.script.Script;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
@@ -269,7 +271,10 @@
       var fault = script.faults().get(i);
       faults.add(
           new Results.FaultNote(
-              fault.atMs(), fault.endMs(), Faults.describe(fault, world.struck().get(i))));
+              fault.atMs(),
+              fault.endMs(),
+              Faults.describe(fault, world.struck().get(i)),
+              effects(fault, world.struck().get(i))));
     }
     long repeats =
         fleet.all().stream().mapToLong(h -> h instanceof Host host ? host.repeated() : 0).sum();
@@ -277,7 +282,8 @@
         script,
         world.seed(),
         world.digest(),
-        tally.windows(),
+        tally.windows(Tally.WINDOW_MS),
+        tally.windows(Tally.PLOT_MS),
         tally.classes(),
         Judge.judge(script, ledger),
         gateways.all().stream().mapToInt(g -> g.crashes).sum(),
@@ -290,6 +296,12 @@
         repeats);
   }
 
+  private List<Effect> effects(Fault fault, List<String> struck) {
+    return fault.kind().subject() == Fault.Subject.HOSTS && fault.kind().lasts()
+        ? struck.stream().map(h -> Effect.of(ledger, h, fault.atMs(), fault.endMs())).toList()
+        : List.of();
+  }
+
   private List<Results.GatewayResult> gatewayResults() {
     int n = gateways.all().size();
     int[] asked = new int[n];
--- a/src/main/java/hazelspoke/emulator/script/Script.java
+++ b/src/main/java/hazelspoke/emulator/script/Script.java
@@ -20,6 +20,32 @@
     faults = List.copyOf(faults);
   }
 
+  /** The same incident with other hosts in processes of their own. */
+  public Script withApart(List<String> names) {
+    Fleet f = fleet;
+    return new Script(
+        title,
+        lengthMs,
+        new Fleet(
+            f.sites,
+            f.gateways,
+            f.servers,
+            f.large,
+            f.medium,
+            f.small,
+            f.inProcess,
+            f.sockets,
+            f.memoryMb,
+            f.dropsCancelled,
+            f.dropsExpired,
+            names),
+        load,
+        classes,
+        discovery,
+        judge,
+        faults);
+  }
+
   /**
    * @param inProcess gateways run in the emulator's own process and not as {@code run} says
    * @param dropsCancelled what waits at a host is dropped when its gateway gives it up
--- /dev/null
+++ b/src/test/java/hazelspoke/emulator/judge/EffectTest.java
@@ -0,0 +1,54 @@
+package hazelspoke.emulator.judge;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import hazelspoke.emulator.judge.Ledger.Try;
+import hazelspoke.emulator.judge.Ledger.TryEnd;
+import org.junit.jupiter.api.Test;
+
+/** What a fault did is read from what hosts and clients saw. */
+class EffectTest {
+  private final Ledger ledger = new Ledger();
+  private int tries;
+
+  private void sent(double earliest, double receivedAt, int status) {
+    Try t = ledger.asked("t" + tries++, 0, 0, 0, false, 1e9);
+    t.end = TryEnd.ANSWERED;
+    t.status = status;
+    ledger.received(t.txn, "s1", 0, receivedAt, earliest);
+  }
+
+  @Test
+  void theCaughtAreCountedByWhatBecameOfThem() {
+    for (int t = 5_000; t < 10_000; t += 100) {
+      sent(t, t, 200);
+    }
+    sent(10_010, 10_010, 200);
+    sent(10_050, 10_050, 502);
+    sent(10_200, 10_200, 503);
+    ledger.received(ledger.asked("x", 0, 0, 0, false, 1e9).txn, "s2", 0, 10_100, 10_100);
+    sent(12_340, 12_340, 200);
+    sent(12_400, 12_400, 200);
+    assertThat(Effect.of(ledger, "s1", 10_000, 12_000))
+        .isEqualTo(new Effect("s1", 3, 1, 1, 1, 300, 340));
+  }
+
+  /** All that a stopped process got is read when it goes on, and can have come any time before. */
+  @Test
+  void whatIsReadAtTheEndOfAStandstillWasCaughtByIt() {
+    sent(9_000, 9_000, 200);
+    sent(9_995, 12_003, 502);
+    sent(9_995, 12_004, 502);
+    sent(12_500, 12_500, 200);
+    assertThat(Effect.of(ledger, "s1", 10_000, 12_000))
+        .isEqualTo(new Effect("s1", 2, 0, 0, 2, 2_000, 500));
+  }
+
+  @Test
+  void whereNothingCameThereIsNothingToTellTimesBy() {
+    Effect none = Effect.of(ledger, "s1", 10_000, 12_000);
+    assertThat(none.caught()).isZero();
+    assertThat(none.passedOverMs()).isNaN();
+    assertThat(none.takenBackMs()).isNaN();
+  }
+}
