Wait for discovery's listener in its test; let a draining host serve who cannot know

Need: DiscoveryTest failed once in five runs: a listener is bound on a turn of the loop after the one that opens it, and the first call came before. Change: the test lets a turn pass. A draining host turns away once the news is out and the grace of 1 s is over. `release`: drains, and another host follows at its address. The page has a bar for each fault; a site that goes dark silently stops its gateways' processes.

--- a/src/main/java/hazelspoke/emulator/net/Host.java
+++ b/src/main/java/hazelspoke/emulator/net/Host.java
@@ -82,6 +82,7 @@
   private double resetRate;
   private long seen;
   private long repeated;
+  private long reported;
   private double reportedErrors;
   private double reportedAt;
 
@@ -425,7 +426,8 @@
     double now = stage.now();
     double span = Math.max(1, now - reportedAt);
     double eps = MS * Math.max(0, server.errors() - reportedErrors) / span;
-    double noise = 1 + spec.reportNoise() * (2 * Draws.unit(rules.seed(), (long) now, seen) - 1);
+    double noise =
+        1 + spec.reportNoise() * (2 * Draws.unit(rules.seed(), name.hashCode(), reported++) - 1);
     reports.add(new double[] {now + spec.reportDelayMs(), eps, server.held() * noise});
     reportedErrors = server.errors();
     reportedAt = now;
--- a/src/main/java/hazelspoke/emulator/report/HtmlReport.java
+++ b/src/main/java/hazelspoke/emulator/report/HtmlReport.java
@@ -17,6 +17,7 @@
   private static final double MS = 1_000;
   private static final int MOST_BREACHES = 50;
   private static final int MOST_LINES = 12;
+  private static final int ROW = 20;
 
   private static final String STYLE =
       """
@@ -37,6 +38,8 @@
       th:first-child, td:first-child, td.left, th.left { text-align: left; }
       .key { display: inline-block; width: .9em; height: .9em; border-radius: 2px;
         margin: 0 .3em 0 1em; vertical-align: -1px; }
+      td:first-child, td:nth-child(2) { white-space: nowrap; }
+      .bar { fill: #d0402b; } .name { font-size: 12px; fill: var(--ink); }
       pre { white-space: pre-wrap; font-size: 13px; }
       .scroll { overflow-x: auto; }
       """;
@@ -72,6 +75,7 @@
             + " the faults of the script: point at one to read which.</p>",
         r.hosts().size(), r.gateways().size(), r.script().lengthMs() / MS, r.seed(), r.digest());
     verdict();
+    timeline();
     outcomes();
     latencies();
     queues();
@@ -123,6 +127,22 @@
         r.late().arrivalsP99(), r.late().arrivalsMax(), r.late().loopP99(), r.late().loopMax());
   }
 
+  /** A bar for each fault, with its name, over the same time as the plots below. */
+  private void timeline() {
+    if (r.faults().isEmpty()) {
+      return;
+    }
+    add("<h2>What went wrong, and when</h2>");
+    int rows = r.faults().size();
+    Plot plot = new Plot(ROW * rows + 44, r.script().lengthMs(), 1);
+    plot.time();
+    for (int i = 0; i < rows; i++) {
+      Results.FaultNote f = r.faults().get(i);
+      plot.bar(f.atMs(), f.endMs(), 16 + ROW * i, ROW - 4, Html.escape(f.what()));
+    }
+    page.append(plot.done());
+  }
+
   private void outcomes() {
     add("<h2>What became of the requests</h2><p class='soft'>By the second in which they were due");
     for (Part part : PARTS) {
--- a/src/main/java/hazelspoke/emulator/report/Plot.java
+++ b/src/main/java/hazelspoke/emulator/report/Plot.java
@@ -48,6 +48,19 @@
     }
   }
 
+  /** A bar with its name beside it, on the side where there is room. */
+  void bar(double fromMs, double toMs, int top, int high, String name) {
+    double from = x(fromMs);
+    double to = Math.max(from + 3, x(toMs));
+    boolean right = to < WIDTH * 0.55;
+    add(
+        "<rect class='bar' rx='2' x='%.1f' y='%d' width='%.1f' height='%d'/>",
+        from, top, to - from, high);
+    add(
+        "<text class='name' text-anchor='%s' x='%.1f' y='%d'>%s</text>",
+        right ? "start" : "end", right ? to + 6 : from - 6, top + high - 4, name);
+  }
+
   void axes(String unit) {
     for (int i = 0; i <= 4; i++) {
       double value = most * i / 4;
--- a/src/main/java/hazelspoke/emulator/run/Faults.java
+++ b/src/main/java/hazelspoke/emulator/run/Faults.java
@@ -73,7 +73,9 @@
       case GATEWAYS -> struck.forEach(name -> begin(fault, gateways.gate(name)));
       case SITE -> {
         for (String name : struck) {
-          if (name.startsWith("g")) {
+          if (name.startsWith("g") && fault.silent()) {
+            gateways.vanish(gateways.gate(name));
+          } else if (name.startsWith("g")) {
             gateways.kill(gateways.gate(name));
           } else if (fault.silent()) {
             fleet.vanish(fleet.host(name));
@@ -114,7 +116,7 @@
         fleet.crash(host);
         fleet.startAgain(host);
       }
-      case DRAIN, SHRINK -> fleet.drain(host);
+      case DRAIN, RELEASE, SHRINK -> fleet.drain(host);
       case REPLACE -> fleet.replace(host);
       default -> throw new IllegalStateException(fault.kind() + " strikes no host");
     }
@@ -182,6 +184,7 @@
       case RESET -> host.resets(0);
       case REFUSE -> host.refuse(false);
       case DRAIN, SHRINK -> fleet.leave(host);
+      case RELEASE -> fleet.replace(host);
       default -> {
         // Ends by itself.
       }
--- a/src/main/java/hazelspoke/emulator/run/Fleet.java
+++ b/src/main/java/hazelspoke/emulator/run/Fleet.java
@@ -26,6 +26,9 @@
   /** How much the work of one request differs from attempt to attempt. */
   private static final double ATTEMPT_NOISE = 0.3;
 
+  /** How long a gateway that was told of a drain may go on sending. */
+  private static final double DRAIN_GRACE_MS = 1_000;
+
   private final Stage stage;
   private final Script script;
   private final Registry registry;
@@ -118,12 +121,22 @@
     }
   }
 
-  /** It is to go: listed as terminating, and turns away what is new. */
+  /**
+   * It is to go: listed as terminating, finishes what it has, and turns away what is new once every
+   * gateway must have heard of it. One that did so before would refuse those who cannot know.
+   */
   void drain(StockHost host) {
     if (host.isUp()) {
-      host.drain();
-      Entry now = listed.get(host);
-      announce(host, entry(host, Status.TERMINATING, now.sinceMs()), script.discovery().noticeMs());
+      double noticeMs = script.discovery().noticeMs();
+      Entry leaving = entry(host, Status.TERMINATING, listed.get(host).sinceMs());
+      announce(host, leaving, noticeMs);
+      stage.at(
+          stage.now() + noticeMs + DRAIN_GRACE_MS,
+          () -> {
+            if (listed.get(host) == leaving) {
+              host.drain();
+            }
+          });
     }
   }
 
--- a/src/main/java/hazelspoke/emulator/run/Gateways.java
+++ b/src/main/java/hazelspoke/emulator/run/Gateways.java
@@ -76,6 +76,7 @@
     double outSince = Double.NaN;
     boolean wanted = true;
     int crashes;
+    int outages;
     int starts;
 
     Gate(Seat seat, Path folder) {
@@ -213,6 +214,17 @@
     undealLater(gate);
   }
 
+  /** Its machine is cut off: it says nothing more, and is ended for good when it starts again. */
+  void vanish(Gate gate) {
+    if (gate.handle.pid() < 0) {
+      // Without a process of its own there is nothing that could stand still.
+      kill(gate);
+    } else {
+      gate.wanted = false;
+      stop(gate);
+    }
+  }
+
   /** SIGTERM, as at a planned restart. */
   void term(Gate gate) {
     gate.wanted = false;
@@ -294,7 +306,7 @@
   }
 
   private void undealLater(Gate gate) {
-    double unit = Draws.unit(world.seed(), gate.seat.gateway(), (long) stage.now());
+    double unit = Draws.unit(world.seed(), gate.seat.gateway(), gate.outages++);
     double notice = NOTICE_LEAST_MS + unit * (NOTICE_MOST_MS - NOTICE_LEAST_MS);
     double since = gate.outSince;
     stage.at(
--- a/src/main/java/hazelspoke/emulator/script/Fault.java
+++ b/src/main/java/hazelspoke/emulator/script/Fault.java
@@ -49,7 +49,9 @@
     RESTART(Subject.HOSTS, false),
     /** Listed as terminating, finishes what it has, and is gone when the time is up. */
     DRAIN(Subject.HOSTS, true),
-    /** Ends, and another under a new name starts at its address. */
+    /** Drains, and when the time is up another under a new name starts at its address, cold. */
+    RELEASE(Subject.HOSTS, true),
+    /** Ends, and another under a new name starts at its address, cold. */
     REPLACE(Subject.HOSTS, false),
     /** All of a site, its gateways with it; comes back cold. */
     SITE_DARK(Subject.SITE, true),
--- a/src/test/java/hazelspoke/emulator/net/DiscoveryTest.java
+++ b/src/test/java/hazelspoke/emulator/net/DiscoveryTest.java
@@ -46,6 +46,8 @@
           discovery.start();
           return null;
         });
+    // Bound on a later turn of the loop.
+    onLoop(() -> null);
   }
 
   @AfterEach
--- a/src/test/java/hazelspoke/emulator/run/RehearsalTest.java
+++ b/src/test/java/hazelspoke/emulator/run/RehearsalTest.java
@@ -118,6 +118,11 @@
         at_s = 3
         hosts = ["s5"]
         [[fault]]
+        what = "release"
+        at_s = 2.5
+        for_s = 1
+        hosts = ["s8"]
+        [[fault]]
         what = "drain"
         at_s = 3
         for_s = 2
