--- a/src/main/java/hazelspoke/emulator/model/ServerSpec.java
+++ b/src/main/java/hazelspoke/emulator/model/ServerSpec.java
@@ -51,6 +51,9 @@
     double reportNoise) {
   private static final int CORES = 3;
 
+  /** The first are warm after this part of the longest time. */
+  private static final double LEAST_COLD = 3.6 / 8.5;
+
   public ServerSpec {
     speeds = List.copyOf(speeds);
   }
@@ -63,6 +66,7 @@
       int group,
       double warmGain,
       double warmMs,
+      double mostColdMs,
       SplittableRandom r) {
     double low = kind.equals("large") ? 1.1 : kind.equals("medium") ? 0.85 : 0.59;
     double high = kind.equals("large") ? 1.5 : kind.equals("medium") ? 1.1 : 0.8;
@@ -77,7 +81,7 @@
         Draws.between(r, 0.035, 0.14),
         Draws.between(r, 3.5, 9),
         Draws.between(r, 0.31, 0.55),
-        Draws.between(r, 3_600, 8_500),
+        mostColdMs * Draws.between(r, LEAST_COLD, 1),
         Draws.between(r, 3_000, 12_000),
         Draws.between(r, 0, 140),
         Draws.between(r, 0, 0.002),
--- a/src/main/java/hazelspoke/emulator/model/World.java
+++ b/src/main/java/hazelspoke/emulator/model/World.java
@@ -69,7 +69,14 @@
       int site = i % fleet.sites().size();
       out.add(
           ServerSpec.draw(
-              "s" + (i + 1), site, kinds.get(i), site, warmGain, warmMs, random.split()));
+              "s" + (i + 1),
+              site,
+              kinds.get(i),
+              site,
+              warmGain,
+              warmMs,
+              fleet.coldMs(),
+              random.split()));
     }
     return List.copyOf(out);
   }
--- a/src/main/java/hazelspoke/emulator/run/ApartHosts.java
+++ b/src/main/java/hazelspoke/emulator/run/ApartHosts.java
@@ -47,7 +47,7 @@
     private final InetSocketAddress address;
     private final Ledger ledger;
     private final Map<String, Attempt> open = new HashMap<>();
-    private ProcessHandleOf handle;
+    private OsProcess handle;
     private int starts;
 
     Apart(Stage stage, ServerSpec spec, InetSocketAddress address, Ledger ledger) {
@@ -96,7 +96,7 @@
                 .redirectError(
                     ProcessBuilder.Redirect.appendTo(folder.resolve(spec.name() + ".log").toFile()))
                 .start();
-        handle = new ProcessHandleOf(process);
+        handle = new OsProcess(process);
         int start = ++starts;
         Thread reader = new Thread(() -> read(process, start), spec.name());
         reader.setDaemon(true);
--- a/src/main/java/hazelspoke/emulator/run/ConfigFile.java
+++ b/src/main/java/hazelspoke/emulator/run/ConfigFile.java
@@ -45,7 +45,7 @@
           "report":{"how":"pull","columns":["err_ps","concurrent"]},
           "prices":{"cross_zone":0.02,"waste":0.1,"probe":0.01,"late_fail":0.05},
           "result_mix":{"whole":0.55,"worst_window":0.35,"worst_class":0.1},
-          "rules":{"cold":8500,"cold_from":0.31,"drain_grace":1000,"fall":%.0f,
+          "rules":{"cold":%.0f,"cold_from":0.31,"drain_grace":1000,"fall":%.0f,
            "fall_multiple":%.1f,"grace_to_answer":20,"must_ask_in":%.0f},
           "tenants":[],"over_share_worth":0.1}}
         """,
@@ -62,6 +62,7 @@
         script.fleet().gateways(),
         asked ? "on_request" : "pushed",
         grades,
+        script.fleet().coldMs(),
         FALL_MS,
         FALL_MULTIPLE,
         MUST_ASK_MS);
--- a/src/main/java/hazelspoke/emulator/run/ProcessHandleOf.java
+++ b/src/main/java/hazelspoke/emulator/run/OsProcess.java
@@ -4,12 +4,12 @@
 import java.util.concurrent.TimeUnit;
 
 /** A process that was started here, and is sent signals by its id. */
-final class ProcessHandleOf implements GatewayHandle {
+final class OsProcess implements GatewayHandle {
   private static final long PATIENCE_S = 10;
 
   private final Process process;
 
-  ProcessHandleOf(Process process) {
+  OsProcess(Process process) {
     this.process = process;
   }
 
--- a/src/main/java/hazelspoke/emulator/run/ProcessGateways.java
+++ b/src/main/java/hazelspoke/emulator/run/ProcessGateways.java
@@ -40,6 +40,6 @@
             .redirectErrorStream(true)
             .redirectOutput(ProcessBuilder.Redirect.appendTo(log.toFile()));
     builder.environment().putAll(environment);
-    return new ProcessHandleOf(builder.start());
+    return new OsProcess(builder.start());
   }
 }
--- a/src/main/java/hazelspoke/emulator/script/Script.java
+++ b/src/main/java/hazelspoke/emulator/script/Script.java
@@ -38,6 +38,7 @@
             f.memoryMb,
             f.dropsCancelled,
             f.dropsExpired,
+            f.coldMs,
             names),
         load,
         classes,
@@ -50,6 +51,7 @@
    * @param inProcess gateways run in the emulator's own process and not as {@code run} says
    * @param dropsCancelled what waits at a host is dropped when its gateway gives it up
    * @param dropsExpired what is over when its turn comes is turned away
+   * @param coldMs after which every server is warm, the first ones at 0.42 of it
    * @param apart names of hosts that run as processes of their own
    */
   public record Fleet(
@@ -64,6 +66,7 @@
       int memoryMb,
       boolean dropsCancelled,
       boolean dropsExpired,
+      double coldMs,
       List<String> apart) {
     public Fleet {
       sites = List.copyOf(sites);
--- a/src/main/java/hazelspoke/emulator/script/ScriptReader.java
+++ b/src/main/java/hazelspoke/emulator/script/ScriptReader.java
@@ -86,6 +86,7 @@
             t.whole("memory_mb", 192, 32, 65_536),
             t.flag("drops_cancelled", true),
             t.flag("drops_expired", false),
+            MS * t.number("cold_s", 8.5, 0.01, 600),
             t.texts("apart", List.of()));
     if (fleet.gateways() < sites.size()) {
       throw t.fail("gateways", "expected at least one for each of the " + sites.size() + " sites");
--- a/src/test/java/hazelspoke/emulator/model/ModelsTest.java
+++ b/src/test/java/hazelspoke/emulator/model/ModelsTest.java
@@ -83,6 +83,19 @@
     assertThat(world.struck().get(0)).hasSize(5);
   }
 
+  @Test
+  void serversAreDrawnWithinTheRangesOfTheirKinds() throws Exception {
+    World world = World.draw(script("[fleet]\nservers = 100\ncold_s = 2\n"), 1);
+    assertThat(world.servers().stream().filter(s -> s.kind().equals("medium"))).hasSize(26);
+    for (ServerSpec s : world.servers()) {
+      assertThat(s.coldMs()).isBetween(2_000 * 3.6 / 8.5, 2_000.0);
+      assertThat(s.coldFrom()).isBetween(0.31, 0.55);
+      assertThat(s.connections()).isBetween(110, 140);
+      double slowest = s.kind().equals("large") ? 1.1 : s.kind().equals("medium") ? 0.85 : 0.59;
+      assertThat(s.speeds()).hasSize(3).allMatch(v -> v >= slowest && v <= 1.5);
+    }
+  }
+
   @Test
   void theLoadIsWhatTheScriptSays() throws Exception {
     World world = World.draw(script("[[load.surge]]\nat_s = 30\nfor_s = 30\nfactor = 2\n"), 3);
--- a/src/test/java/hazelspoke/emulator/model/StockServerTest.java
+++ b/src/test/java/hazelspoke/emulator/model/StockServerTest.java
@@ -152,7 +152,8 @@
     ends.clear();
     jobs = 0;
     Random random = new Random(seed);
-    ServerSpec spec = ServerSpec.draw("s", 0, "small", 0, 0.5, 4_000, new SplittableRandom(seed));
+    ServerSpec spec =
+        ServerSpec.draw("s", 0, "small", 0, 0.5, 4_000, 8_500, new SplittableRandom(seed));
     StockServer server = new StockServer(spec, false, false, 0, 0, this::note);
     double at = 0;
     for (int i = 0; i < 60; i++) {
