--- a/src/main/java/hazelspoke/emulator/net/Host.java
+++ b/src/main/java/hazelspoke/emulator/net/Host.java
@@ -577,9 +577,6 @@
         c.ended(Job.End.TURNED_AWAY);
         return;
       }
-      if (c.idempotencyKey != null && !repeats.first(c.idempotencyKey, now)) {
-        repeated++;
-      }
       server.arrive(c.job, now);
       if (!channel.isActive()) {
         // It had been given up behind the silence: read now, and ended right behind.
@@ -649,6 +646,12 @@
     }
 
     void ended(Job.End end) {
+      // What was turned away never ran, and leaves its key free.
+      if (end != Job.End.TURNED_AWAY
+          && idempotencyKey != null
+          && !repeats.first(idempotencyKey, stage.now())) {
+        repeated++;
+      }
       orHold(() -> answer(end));
     }
 
--- a/src/main/java/hazelspoke/emulator/run/Fleet.java
+++ b/src/main/java/hazelspoke/emulator/run/Fleet.java
@@ -41,7 +41,7 @@
     this.stage = stage;
     this.script = world.script();
     this.registry = registry;
-    Host.Rules rules = rules(world);
+    Host.Rules rules = rules(world, ConfigFile.FALL_MULTIPLE);
     List<RepeatMemory> repeats = new ArrayList<>();
     for (int i = 0; i < script.fleet().sites().size(); i++) {
       repeats.add(new RepeatMemory(window(script)));
@@ -58,12 +58,12 @@
     }
   }
 
-  static Host.Rules rules(World world) {
+  static Host.Rules rules(World world, double fallMultiple) {
     Script.Fleet fleet = world.script().fleet();
     return new Host.Rules(
         fleet.dropsCancelled(),
         fleet.dropsExpired(),
-        ConfigFile.FALL_MULTIPLE,
+        fallMultiple,
         ConfigFile.FALL_MS,
         ATTEMPT_NOISE,
         world.seed());
--- a/src/main/java/hazelspoke/emulator/run/StockServerProcess.java
+++ b/src/main/java/hazelspoke/emulator/run/StockServerProcess.java
@@ -51,7 +51,8 @@
             stage,
             spec,
             listen,
-            Fleet.rules(world),
+            // Who knew of its start is not known here: it cannot be pushed over.
+            Fleet.rules(world, Double.POSITIVE_INFINITY),
             new RepeatMemory(Fleet.window(world.script())),
             new Lines(out));
     loop.execute(
--- a/src/test/java/hazelspoke/emulator/net/HostTest.java
+++ b/src/test/java/hazelspoke/emulator/net/HostTest.java
@@ -76,7 +76,7 @@
             spec(),
             Ports.free(77, 300),
             new Host.Rules(true, false, 3, 3_000, 0, 1),
-            new RepeatMemory(1_500),
+            new RepeatMemory(LONG_MS),
             new LedgerSink(ledger));
     onLoop(() -> host.start(false));
     // Bound on a later turn of the loop.
@@ -183,6 +183,38 @@
     }
   }
 
+  @Test
+  void onlyWhatRanMakesARepeat() throws Exception {
+    try (Socket running = connect();
+        Socket waiting = connect();
+        Socket keyed = connect()) {
+      send(running, 300);
+      send(waiting, 1);
+      awaitHeld(2);
+      sendKeyed(keyed);
+      assertThat(receive(keyed)).startsWith("HTTP/1.1 503");
+      awaitHeld(0);
+      sendKeyed(keyed);
+      assertThat(receive(keyed)).startsWith("HTTP/1.1 200");
+      onLoop(() -> assertThat(host.repeated()).isZero());
+      sendKeyed(keyed);
+      assertThat(receive(keyed)).startsWith("HTTP/1.1 200");
+      onLoop(() -> assertThat(host.repeated()).isEqualTo(1));
+    }
+  }
+
+  private void sendKeyed(Socket socket) throws IOException {
+    String body = Wire.requestBody(1, 1);
+    write(
+        socket,
+        "POST /reserve HTTP/1.1\r\nHost: h\r\nX-Txn: k"
+            + asked++
+            + "\r\nIdempotency-Key: one\r\nContent-Length: "
+            + body.length()
+            + "\r\n\r\n"
+            + body);
+  }
+
   @Test
   void aDrainingOneTurnsAwayAndFinishesWhatItHas() throws Exception {
     try (Socket first = connect();
