Add bench relay: what a request costs, beside a relay that only passes bytes on

Need: what is to come is to be judged by its cost off and on, on any machine; a figure alone tells nothing where others run too. Change: bin/pumicetray bench relay starts the gateway with the flags of run and a bare Netty relay, each held to one core, and loads both in alternating rounds from the same clients and hosts. HdrHistogram keeps the times. Nothing of it is on the way of serve.

--- /dev/null
+++ b/src/main/java/hazelspoke/bench/Report.java
@@ -0,0 +1,126 @@
+package hazelspoke.bench;
+
+import com.fasterxml.jackson.core.JsonFactory;
+import com.fasterxml.jackson.core.JsonGenerator;
+import java.io.IOException;
+import java.io.PrintStream;
+import java.io.Writer;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.Locale;
+import java.util.function.ToDoubleFunction;
+
+/** The figures of all rounds: medians, from where to where they go, and the ratio of the two. */
+public final class Report {
+  private record Figure(String key, String words, int digits, ToDoubleFunction<Round> of) {}
+
+  private static final List<Figure> FIGURES =
+      List.of(
+          new Figure("cpu_us", "CPU a request, us", 1, Round::cpuUs),
+          new Figure("per_second", "requests a second", 0, Round::perSecond),
+          new Figure("p50_ms", "p50, ms", 2, r -> r.p50Us() / 1e3),
+          new Figure("p99_ms", "p99, ms", 2, r -> r.p99Us() / 1e3),
+          new Figure("allocated_bytes", "allocated a request, bytes", 0, Round::allocatedBytes),
+          new Figure("collections", "collections a round", 0, Round::collections),
+          new Figure("full_collections", "of the whole heap", 0, Round::fullCollections),
+          new Figure("longest_pause_ms", "longest pause, ms", 1, Round::longestPauseMs),
+          new Figure("failed", "failed a round", 0, Round::failed));
+
+  private final RelayBench.Plan plan;
+  private final String pinning;
+  private final List<Round> gateway;
+  private final List<Round> relay;
+
+  Report(RelayBench.Plan plan, String pinning, List<Round> gateway, List<Round> relay) {
+    this.plan = plan;
+    this.pinning = pinning;
+    this.gateway = List.copyOf(gateway);
+    this.relay = List.copyOf(relay);
+  }
+
+  /** Prints the table. */
+  public void print(PrintStream out) {
+    out.printf(
+        Locale.ROOT,
+        "%n%d hosts, %d clients, %d rounds of %.0f s each, deadline %.1f s; %s%n%n",
+        plan.hosts(),
+        plan.clients(),
+        plan.rounds(),
+        plan.seconds(),
+        plan.deadlineS(),
+        pinning);
+    out.printf("%-28s %22s %22s %7s%n", "median (least to most)", "gateway", "relay", "ratio");
+    for (Figure f : FIGURES) {
+      double g = median(gateway, f.of());
+      double r = median(relay, f.of());
+      out.printf(
+          "%-28s %22s %22s %7s%n",
+          f.words(),
+          spread(gateway, f),
+          spread(relay, f),
+          r > 0 ? String.format(Locale.ROOT, "%.2f", g / r) : "-");
+    }
+  }
+
+  private static String spread(List<Round> rounds, Figure f) {
+    String form = "%." + f.digits() + "f";
+    return String.format(
+        Locale.ROOT,
+        form + " (" + form + " to " + form + ")",
+        median(rounds, f.of()),
+        rounds.stream().mapToDouble(f.of()).min().orElse(0),
+        rounds.stream().mapToDouble(f.of()).max().orElse(0));
+  }
+
+  static double median(List<Round> rounds, ToDoubleFunction<Round> of) {
+    double[] sorted = rounds.stream().mapToDouble(of).sorted().toArray();
+    int n = sorted.length;
+    return n == 0 ? 0 : (sorted[(n - 1) / 2] + sorted[n / 2]) / 2;
+  }
+
+  /** Writes every round, the medians and the ratios as JSON. */
+  public void write(Path file) throws IOException {
+    try (Writer out = Files.newBufferedWriter(file);
+        JsonGenerator json = new JsonFactory().createGenerator(out)) {
+      json.useDefaultPrettyPrinter();
+      json.writeStartObject();
+      json.writeNumberField("hosts", plan.hosts());
+      json.writeNumberField("clients", plan.clients());
+      json.writeNumberField("seconds", plan.seconds());
+      json.writeNumberField("deadline_s", plan.deadlineS());
+      json.writeStringField("pinning", pinning);
+      rounds(json, "gateway", gateway);
+      rounds(json, "relay", relay);
+      json.writeObjectFieldStart("ratio");
+      for (Figure f : FIGURES) {
+        double r = median(relay, f.of());
+        if (r > 0) {
+          json.writeNumberField(f.key(), median(gateway, f.of()) / r);
+        }
+      }
+      json.writeEndObject();
+      json.writeEndObject();
+    }
+  }
+
+  private static void rounds(JsonGenerator json, String name, List<Round> rounds)
+      throws IOException {
+    json.writeObjectFieldStart(name);
+    json.writeObjectFieldStart("median");
+    for (Figure f : FIGURES) {
+      json.writeNumberField(f.key(), median(rounds, f.of()));
+    }
+    json.writeEndObject();
+    json.writeArrayFieldStart("rounds");
+    for (Round round : rounds) {
+      json.writeStartObject();
+      for (Figure f : FIGURES) {
+        json.writeNumberField(f.key(), f.of().applyAsDouble(round));
+      }
+      json.writeEndObject();
+    }
+    json.writeEndArray();
+    json.writeEndObject();
+  }
+}
--- /dev/null
+++ b/src/test/java/hazelspoke/bench/RelayTest.java
@@ -0,0 +1,35 @@
+package hazelspoke.bench;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+/** The control does what it is taken for: every request through it is answered by a host. */
+class RelayTest {
+  @Test
+  void clientsAreAnsweredThroughIt() throws Exception {
+    EventLoopGroup loops = new MultiThreadIoEventLoopGroup(2, NioIoHandler.newFactory());
+    try {
+      List<InetSocketAddress> hosts = new QuickHosts(loops, 2).hosts();
+      int port;
+      try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+        port = free.getLocalPort();
+      }
+      Relay.start(port, hosts.stream().map(InetSocketAddress::getPort).toList());
+      Load.Seen seen =
+          new Load(loops, new InetSocketAddress(InetAddress.getLoopbackAddress(), port), 1)
+              .run(3, 0.1, 0.5, () -> {});
+      assertThat(seen.timesUs().getTotalCount()).isGreaterThan(3);
+      assertThat(seen.failed()).isZero();
+    } finally {
+      loops.shutdownGracefully();
+    }
+  }
+}
