Cut HTTP out of the core: requests, answers and calls in no protocol's words

Need: the dispatcher answered with an HttpResponseStatus, an exchange held an HttpRequest and made the head for a host; JSON-RPC, a store, repeats and reasons have to meet a request that is no HTTP message. Change: Request, Answer (served, refused with advice, failed in or out of time) and Metadata are what goes through; Client, Intake, Hosts and Discovery are the dispatcher's four sides. HTTP's status, method, headers and its question for a host's load stay with the two ends. No behaviour changes.

--- a/src/main/java/hazelspoke/gateway/ClientConnection.java
+++ b/src/main/java/hazelspoke/gateway/ClientConnection.java
@@ -10,7 +10,6 @@
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaderValues;
-import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpRequest;
@@ -27,7 +26,7 @@
 import java.util.concurrent.TimeUnit;
 
 /** One connection of a client's: reads its requests one after the other, and writes the answers. */
-final class ClientConnection extends ChannelInboundHandlerAdapter {
+final class ClientConnection extends ChannelInboundHandlerAdapter implements Client {
   /** What a client may send ahead while its answer is being written; then reading stops. */
   private static final int MOST_AHEAD_BYTES = 16_384;
 
@@ -198,12 +197,13 @@
   private void body(HttpContent content) throws BadRequestException {
     int more = content.content().readableBytes();
     if (!health && more > 0) {
-      if (exchange.body.length() + more > Body.MOST_BYTES) {
+      Body body = exchange.request().body();
+      if (body.length() + more > Body.MOST_BYTES) {
         throw new BadRequestException(
             HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE, "the body is too large");
       }
-      exchange.body.append(content.content());
-      if (!exchange.share.add(more)) {
+      body.append(content.content());
+      if (!exchange.share().add(more)) {
         channel.config().setAutoRead(false);
       }
     }
@@ -229,23 +229,35 @@
     channel.config().setAutoRead(true);
   }
 
+  @Override
+  public void answer(Answer answer) {
+    switch (answer.outcome()) {
+      case SERVED -> served(answer);
+      case REFUSED -> own(HttpResponseStatus.SERVICE_UNAVAILABLE, answer.retryAfterMs());
+      case FAILED ->
+          own(
+              answer.late() ? HttpResponseStatus.GATEWAY_TIMEOUT : HttpResponseStatus.BAD_GATEWAY,
+              0);
+    }
+  }
+
   /** Answers with a host's whole answer, unchanged. */
-  void answer(HttpHeaders headers, Body body, ByteBudget.Share share) {
-    answerShare = share;
-    HttpResponse head = responseHead(HttpResponseStatus.OK, headers);
-    head.headers().set(HttpHeaderNames.CONTENT_LENGTH, body.length());
-    write(head, body);
+  private void served(Answer answer) {
+    answerShare = answer.share();
+    HttpResponse head = responseHead(HttpResponseStatus.OK, answer.metadata());
+    head.headers().set(HttpHeaderNames.CONTENT_LENGTH, answer.body().length());
+    write(head, answer.body());
   }
 
   /** Answers in the gateway's own words. */
-  void answer(HttpResponseStatus status, double retryAfterMs) {
+  private void own(HttpResponseStatus status, double retryAfterMs) {
     answer(status, status.reasonPhrase(), retryAfterMs);
   }
 
   private void answer(HttpResponseStatus status, String text, double retryAfterMs) {
     Body body = new Body();
     body.append(Unpooled.copiedBuffer(text + "\n", StandardCharsets.UTF_8));
-    HttpResponse head = responseHead(status, null);
+    HttpResponse head = responseHead(status, Metadata.NONE);
     head.headers().set(HttpHeaderNames.CONTENT_TYPE, "text/plain; charset=utf-8");
     head.headers().set(HttpHeaderNames.CONTENT_LENGTH, body.length());
     if (retryAfterMs > 0) {
@@ -260,12 +272,10 @@
     writer = new BodyWriter(channel, head, body, this::answerWritten);
   }
 
-  private HttpResponse responseHead(HttpResponseStatus status, HttpHeaders headers) {
+  private HttpResponse responseHead(HttpResponseStatus status, Metadata metadata) {
     keepAlive &= !server.isLeaving();
     HttpResponse head = new DefaultHttpResponse(HttpVersion.HTTP_1_1, status);
-    if (headers != null) {
-      Headers.copyEndToEnd(headers, head.headers());
-    }
+    Headers.add(metadata, head.headers());
     if (!keepAlive) {
       head.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
     } else if (version.equals(HttpVersion.HTTP_1_0)) {
@@ -354,7 +364,7 @@
   /** Forgets a request that was not taken on. */
   private void dropExchange() {
     if (exchange != null) {
-      exchange.share.release();
+      exchange.share().release();
       exchange = null;
     }
   }
--- a/src/main/java/hazelspoke/gateway/ClientServer.java
+++ b/src/main/java/hazelspoke/gateway/ClientServer.java
@@ -47,7 +47,7 @@
   private final Clock clock;
   private final Names names;
   private final Settings settings;
-  private final Dispatcher dispatcher;
+  private final Intake intake;
   private final ByteBudget bodyBudget;
   private final int mostConnections;
 
@@ -63,20 +63,21 @@
   ClientServer(
       EventLoop loop,
       Clock clock,
-      GatewayConfig config,
-      Dispatcher dispatcher,
+      Names names,
+      Settings settings,
+      Intake intake,
       ByteBudget bodyBudget,
       int mostConnections) {
     this.loop = loop;
     this.clock = clock;
-    this.dispatcher = dispatcher;
+    this.names = names;
+    this.settings = settings;
+    this.intake = intake;
     this.bodyBudget = bodyBudget;
     this.mostConnections = Math.max(1, mostConnections - ACCEPTED_AT_ONCE);
     for (State state : State.values()) {
       byState.put(state, new LinkedHashSet<>());
     }
-    names = config.names();
-    settings = config.settings();
     loop.scheduleAtFixedRate(this::sweep, SWEEP_MS, SWEEP_MS, TimeUnit.MILLISECONDS);
   }
 
@@ -200,21 +201,21 @@
   }
 
   Exchange exchange(HttpRequest request, ClientConnection client) throws BadRequestException {
-    RequestHead head = RequestHead.read(request, names, settings);
+    Request head = RequestHead.read(request, names, settings);
     return new Exchange(head, client, bodyBudget.share(client::resumeReading));
   }
 
   /** Whether another request with the same id is open; that one goes on. */
   boolean isOpen(Exchange exchange) {
-    return dispatcher.isOpen(exchange.txn());
+    return intake.isOpen(exchange.request().txn());
   }
 
   void taken(Exchange exchange) {
-    dispatcher.onRequest(exchange);
+    intake.onRequest(exchange);
   }
 
   void clientGone(Exchange exchange) {
-    dispatcher.onClientGone(exchange);
+    intake.onClientGone(exchange);
   }
 
   /**
--- a/src/main/java/hazelspoke/gateway/DiscoveryClient.java
+++ b/src/main/java/hazelspoke/gateway/DiscoveryClient.java
@@ -34,7 +34,7 @@
  * The calls to discovery: one watch at most, and look-ups. When to call is the module's to say;
  * only a pushed list, which nobody asks for, is kept up from here.
  */
-final class DiscoveryClient {
+final class DiscoveryClient implements Discovery {
   /** An empty line comes every 2 s; a watch silent for longer than this is broken. */
   private static final double WATCH_SILENCE_MS = 2_500;
 
@@ -45,6 +45,14 @@
   private static final long CHECK_EVERY_MS = 100;
   private static final long PUSHED_AGAIN_MS = 500;
 
+  /**
+   * What is known before the first call.
+   *
+   * @param pushed whether the list is told unasked, so that the watch is held from here
+   * @param version of the list that the gateway has
+   */
+  record Start(InetSocketAddress address, boolean pushed, Names names, long version) {}
+
   private final Bootstrap bootstrap;
   private final Transport transport;
   private InetSocketAddress address;
@@ -61,7 +69,7 @@
   DiscoveryClient(
       EventLoop loop,
       Transport transport,
-      GatewayConfig config,
+      Start start,
       Clock clock,
       Log log,
       Consumer<HostList.Update> onUpdate,
@@ -74,10 +82,10 @@
             .option(ChannelOption.ALLOCATOR, Buffers.ALLOCATOR)
             .option(ChannelOption.RECVBUF_ALLOCATOR, Buffers.reads())
             .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MS);
-    address = config.discovery();
-    pushed = config.settings().discovery() == ternscale.api.Settings.Discovery.PUSHED;
-    names = config.names();
-    version = config.known().version();
+    address = start.address();
+    pushed = start.pushed();
+    names = start.names();
+    version = start.version();
     this.clock = clock;
     this.log = log;
     this.onUpdate = onUpdate;
@@ -91,8 +99,8 @@
     }
   }
 
-  /** Begins to watch, unless that is being done already, or ends it. */
-  void watch(boolean on) {
+  @Override
+  public void watch(boolean on) {
     if (on) {
       if (watch == null) {
         watch = new Call(true);
@@ -103,7 +111,8 @@
     }
   }
 
-  void lookup() {
+  @Override
+  public void lookup() {
     calls.add(new Call(false));
   }
 
--- a/src/main/java/hazelspoke/gateway/Dispatcher.java
+++ b/src/main/java/hazelspoke/gateway/Dispatcher.java
@@ -1,9 +1,6 @@
 package hazelspoke.gateway;
 
 import io.netty.channel.EventLoop;
-import io.netty.handler.codec.http.HttpHeaders;
-import io.netty.handler.codec.http.HttpRequest;
-import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.util.concurrent.ScheduledFuture;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -28,7 +25,7 @@
  * Every request in hand: tells the module what happens to it and does what the module says, and
  * sees to it that each gets exactly one final answer, whatever goes wrong.
  */
-final class Dispatcher implements Actions {
+final class Dispatcher implements Actions, Intake {
   /** A request still unanswered this long after its deadline is failed here: a bug, not a rule. */
   private static final double OVERDUE_MS = 15;
 
@@ -40,31 +37,39 @@
   private final Settings settings;
   private final Names names;
   private final int openCap;
-  private final HostClient hosts;
+  private final Hosts hosts;
   private final LoopLag lag;
   private final Map<String, Exchange> exchanges = new HashMap<>();
 
   /** The clients' own ids of the requests that are owed an answer. */
   private final Set<String> open = new HashSet<>();
 
-  private DiscoveryClient discovery;
+  private Discovery discovery;
   private Balancer balancer;
   private boolean deciding;
   private long taken;
   private int owed;
 
-  Dispatcher(EventLoop loop, GatewayConfig config, Clock clock, Log log, HostClient hosts) {
+  /** One that takes at most {@code openCap} requests at a time and refuses what comes beyond. */
+  Dispatcher(
+      EventLoop loop,
+      Settings settings,
+      Names names,
+      int openCap,
+      Clock clock,
+      Log log,
+      Hosts hosts) {
     this.loop = loop;
     this.clock = clock;
     this.log = log;
-    this.settings = config.settings();
-    this.names = config.names();
-    this.openCap = config.openCap();
+    this.settings = settings;
+    this.names = names;
+    this.openCap = openCap;
     this.hosts = hosts;
     lag = new LoopLag(loop, clock);
   }
 
-  void start(Balancer module, DiscoveryClient client) {
+  void start(Balancer module, Discovery client) {
     balancer = module;
     discovery = client;
   }
@@ -96,7 +101,7 @@
   /** Fails a request that the module has lost track of. */
   private void abandon(Exchange x) {
     if (!x.ended) {
-      answer(x, HttpResponseStatus.BAD_GATEWAY, 0);
+      answer(x, Answer.failed(false));
       decide(null, () -> balancer.onClientGone(clock.nowMs(), x.id));
       x.attempts.forEach(Attempt::stop);
     }
@@ -130,22 +135,22 @@
     onMembers(MembersUpdate.Kind.FAILED, new HostList.Update(false, 0, List.of()));
   }
 
-  /** Whether a request with this id of a client's is still owed its answer. */
-  boolean isOpen(String txn) {
+  @Override
+  public boolean isOpen(String txn) {
     return open.contains(txn);
   }
 
-  /** A client's request is whole. */
-  void onRequest(Exchange x) {
+  @Override
+  public void onRequest(Exchange x) {
     double now = clock.nowMs();
     RequestInfo info = x.taken(Long.toString(taken++), now, lag.waitedMs());
     owed++;
     if (owed > openCap) {
-      answer(x, HttpResponseStatus.SERVICE_UNAVAILABLE, 0);
+      answer(x, Answer.refused(0));
       return;
     }
     exchanges.put(x.id, x);
-    open.add(x.txn());
+    open.add(x.request.txn());
     schedule(info.deadline() + OVERDUE_MS - now, () -> overdue(x));
     decide(x, () -> balancer.onRequest(clock.nowMs(), info));
   }
@@ -157,8 +162,8 @@
     }
   }
 
-  /** The client left before it had its whole answer. */
-  void onClientGone(Exchange x) {
+  @Override
+  public void onClientGone(Exchange x) {
     if (x.ended) {
       return;
     }
@@ -169,17 +174,17 @@
   private void end(Exchange x) {
     x.ended = true;
     owed--;
-    open.remove(x.txn());
+    open.remove(x.request.txn());
     x.share.release();
     if (x.out == 0) {
       exchanges.remove(x.id);
     }
   }
 
-  private void answer(Exchange x, HttpResponseStatus status, double retryAfterMs) {
+  private void answer(Exchange x, Answer answer) {
     if (!x.ended) {
       end(x);
-      x.client.answer(status, retryAfterMs);
+      x.client.answer(answer);
     }
   }
 
@@ -200,7 +205,7 @@
     x.out++;
     double leftMs = x.deadline - now;
     if (x.ended || leftMs <= 0 || x.attempts.size() > settings.limits().maxAttempts()) {
-      loop.execute(() -> attempt.settle(Result.NOT_SENT, null));
+      loop.execute(() -> attempt.settle(Result.NOT_SENT, ""));
       return;
     }
     attempt.go(timeoutMs > 0 ? Math.min(timeoutMs, leftMs) : leftMs);
@@ -210,7 +215,7 @@
   public void refuse(String requestId, double retryAfterMs) {
     Exchange x = exchanges.get(requestId);
     if (x != null) {
-      answer(x, HttpResponseStatus.SERVICE_UNAVAILABLE, retryAfterMs);
+      answer(x, Answer.refused(retryAfterMs));
     }
   }
 
@@ -218,8 +223,7 @@
   public void fail(String requestId) {
     Exchange x = exchanges.get(requestId);
     if (x != null) {
-      boolean late = clock.nowMs() >= x.deadline;
-      answer(x, late ? HttpResponseStatus.GATEWAY_TIMEOUT : HttpResponseStatus.BAD_GATEWAY, 0);
+      answer(x, Answer.failed(clock.nowMs() >= x.deadline));
     }
   }
 
@@ -278,7 +282,7 @@
     private final int number;
     private final double startedAt;
     private final double lostBefore = lag.lostMs();
-    private HostClient.Ticket ticket;
+    private Hosts.Ticket ticket;
     private ScheduledFuture<?> timeOut;
     private boolean over;
 
@@ -299,7 +303,7 @@
         // Given up before its last byte was written, it never ran.
         Result result = ticket.isSent() ? Result.TIMEOUT : Result.CONNECT_FAILED;
         ticket.giveUp();
-        settle(result, null);
+        settle(result, "");
       }
     }
 
@@ -307,7 +311,7 @@
     private void stop() {
       if (!over) {
         giveUp();
-        settle(Result.CANCELLED, null);
+        settle(Result.CANCELLED, "");
       }
     }
 
@@ -318,37 +322,33 @@
     }
 
     @Override
-    public HttpRequest head(String authority) {
-      return x.headFor(authority, clock.nowMs());
+    public Request request() {
+      return x.request;
     }
 
     @Override
-    public Body body() {
-      return x.body;
+    public double remainingMs() {
+      return Math.max(0, x.deadline - clock.nowMs());
     }
 
     @Override
-    public boolean once() {
-      return x.once();
-    }
-
-    @Override
-    public void answered(HttpHeaders headers, Body answer, ByteBudget.Share share) {
+    public void answered(
+        Metadata metadata, String loadReport, Body answer, ByteBudget.Share share) {
       if (x.ended) {
         share.release();
       } else {
         end(x);
-        x.client.answer(headers, answer, share);
+        x.client.answer(Answer.served(metadata, answer, share));
       }
-      settle(Result.OK, headers);
+      settle(Result.OK, loadReport);
     }
 
     @Override
-    public void ended(Result result, HttpHeaders headers) {
-      settle(result, headers);
+    public void ended(Result result, String loadReport) {
+      settle(result, loadReport);
     }
 
-    private void settle(Result result, HttpHeaders headers) {
+    private void settle(Result result, String loadReport) {
       if (over) {
         return;
       }
@@ -363,8 +363,8 @@
       double elapsedMs = clock.nowMs() - startedAt;
       double ownMs = lag.lostMs() - lostBefore;
       List<Double> report =
-          headers != null && settings.reportMode() == Settings.ReportMode.WITH_ANSWERS
-              ? names.report(headers.get(Headers.LOAD_REPORT, ""))
+          settings.reportMode() == Settings.ReportMode.WITH_ANSWERS
+              ? names.report(loadReport)
               : List.of();
       decide(
           x,
@@ -381,7 +381,7 @@
 
     private final String host;
     private final double startedAt;
-    private HostClient.Ticket ticket;
+    private Hosts.Ticket ticket;
     private boolean over;
 
     Probe(String host, double now) {
@@ -392,41 +392,37 @@
     private void timeOut() {
       if (!over) {
         ticket.giveUp();
-        settle(Result.TIMEOUT, List.of());
+        settle(Result.TIMEOUT, "");
       }
     }
 
     @Override
-    public HttpRequest head(String authority) {
-      return Headers.get("/load", authority);
-    }
-
-    @Override
-    public Body body() {
-      return new Body();
+    public Request request() {
+      return null;
     }
 
     @Override
-    public boolean once() {
-      return false;
+    public double remainingMs() {
+      return TIMEOUT_MS;
     }
 
     @Override
-    public void answered(HttpHeaders headers, Body answer, ByteBudget.Share share) {
-      String text = answer.text();
+    public void answered(
+        Metadata metadata, String loadReport, Body answer, ByteBudget.Share share) {
       share.release();
-      boolean reports = settings.reportMode() != Settings.ReportMode.NONE;
-      settle(Result.OK, reports ? names.report(text) : List.of());
+      settle(Result.OK, loadReport);
     }
 
     @Override
-    public void ended(Result result, HttpHeaders headers) {
-      settle(result, List.of());
+    public void ended(Result result, String loadReport) {
+      settle(result, "");
     }
 
-    private void settle(Result result, List<Double> report) {
+    private void settle(Result result, String loadReport) {
       if (!over) {
         over = true;
+        boolean reports = settings.reportMode() != Settings.ReportMode.NONE;
+        List<Double> report = reports ? names.report(loadReport) : List.of();
         ProbeResult news = new ProbeResult(host, result, clock.nowMs() - startedAt, report);
         decide(null, () -> balancer.onProbeResult(clock.nowMs(), news));
       }
--- a/src/main/java/hazelspoke/gateway/Gateway.java
+++ b/src/main/java/hazelspoke/gateway/Gateway.java
@@ -14,6 +14,7 @@
 import sun.misc.Signal;
 import ternscale.api.Balancer;
 import ternscale.api.MembersUpdate;
+import ternscale.api.Settings;
 import ternscale.policy.LcStarBalancer;
 
 /** One gateway: its parts, all on one event loop, from the start to the drain after SIGTERM. */
@@ -125,12 +126,18 @@
             config.settings().limits(),
             hostSockets,
             new ByteBudget(ANSWER_BYTES));
-    Dispatcher dispatcher = new Dispatcher(loop, config, clock, log, hosts);
+    Dispatcher dispatcher =
+        new Dispatcher(
+            loop, config.settings(), config.names(), config.openCap(), clock, log, hosts);
     discovery =
         new DiscoveryClient(
             loop,
             transport,
-            config,
+            new DiscoveryClient.Start(
+                config.discovery(),
+                config.settings().discovery() == Settings.Discovery.PUSHED,
+                config.names(),
+                config.known().version()),
             clock,
             log,
             update ->
@@ -144,7 +151,13 @@
     discovery.start();
     clients =
         new ClientServer(
-            loop, clock, config, dispatcher, new ByteBudget(BODY_BYTES), clientSockets);
+            loop,
+            clock,
+            config.names(),
+            config.settings(),
+            dispatcher,
+            new ByteBudget(BODY_BYTES),
+            clientSockets);
     return clients.listen(transport, config.listen());
   }
 
--- a/src/main/java/hazelspoke/gateway/Headers.java
+++ b/src/main/java/hazelspoke/gateway/Headers.java
@@ -10,6 +10,7 @@
 import java.util.Locale;
 import java.util.Map;
 import java.util.Set;
+import ternscale.api.Settings.Effect;
 
 /** The headers of this deployment's protocol, and those that end at a gateway. */
 final class Headers {
@@ -39,7 +40,9 @@
 
   private Headers() {}
 
-  static void copyEndToEnd(HttpHeaders from, HttpHeaders to) {
+  /** What of these goes on to a message's other end. */
+  static Metadata endToEnd(HttpHeaders from) {
+    Metadata to = new Metadata();
     String named =
         String.join(",", from.getAll(HttpHeaderNames.CONNECTION)).toLowerCase(Locale.ROOT);
     Set<String> listed = Set.of(named.isBlank() ? new String[0] : distinct(named));
@@ -49,6 +52,27 @@
         to.add(header.getKey(), header.getValue());
       }
     }
+    return to;
+  }
+
+  static void add(Metadata from, HttpHeaders to) {
+    for (int i = 0; i < from.size(); i++) {
+      to.add(from.name(i), from.value(i));
+    }
+  }
+
+  /** The head for a host: all that the client sent for it, and how long an answer is awaited. */
+  static HttpRequest request(Request request, String authority, double remainingMs) {
+    boolean safe = request.effect() == Effect.REPEATABLE;
+    HttpRequest to =
+        new DefaultHttpRequest(
+            HttpVersion.HTTP_1_1, safe ? HttpMethod.GET : HttpMethod.POST, request.target());
+    add(request.metadata(), to.headers());
+    to.headers().set(HttpHeaderNames.HOST, authority).set(REMAINING, seconds(remainingMs));
+    if (request.body().length() > 0 || !safe) {
+      to.headers().set(HttpHeaderNames.CONTENT_LENGTH, request.body().length());
+    }
+    return to;
   }
 
   /**
--- a/src/main/java/hazelspoke/gateway/HostCall.java
+++ b/src/main/java/hazelspoke/gateway/HostCall.java
@@ -1,24 +1,30 @@
 package hazelspoke.gateway;
 
-import io.netty.handler.codec.http.HttpHeaders;
-import io.netty.handler.codec.http.HttpRequest;
 import ternscale.api.Outcome.Result;
 
-/** What {@link HostClient} carries out: one attempt of a request, or a probe. */
-interface HostCall {
-  /** The request without its body, made when it is about to be written. */
-  HttpRequest head(String authority);
+/**
+ * One attempt of a request, or a probe, as a back carries it out: it is told once how it ended, by
+ * {@link #answered} or {@link #ended}, and nothing after its ticket was given up.
+ */
+public interface HostCall {
+  /** What is asked, for as long as it may have to be written; null asks for the host's load. */
+  Request request();
 
-  Body body();
+  /** How long an answer is awaited from now on, in milliseconds; asked when it is written. */
+  double remainingMs();
 
   /**
-   * Whether it must never run twice: then it is worth some waiting to know of a broken connection.
+   * The call ended with a whole answer.
+   *
+   * @param loadReport the host's report of its load as text, empty when none came
+   * @param share counts the body; it is the receiver's from now on
    */
-  boolean once();
+  void answered(Metadata metadata, String loadReport, Body body, ByteBudget.Share share);
 
-  /** The call ended with a whole answer, whose bytes the receiver now has to account for. */
-  void answered(HttpHeaders headers, Body answer, ByteBudget.Share share);
-
-  /** The call ended otherwise. {@code headers} are those of the answer, empty when none came. */
-  void ended(Result result, HttpHeaders headers);
+  /**
+   * The call ended otherwise.
+   *
+   * @param loadReport as above
+   */
+  void ended(Result result, String loadReport);
 }
--- a/src/main/java/hazelspoke/gateway/HostClient.java
+++ b/src/main/java/hazelspoke/gateway/HostClient.java
@@ -7,7 +7,6 @@
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
-import io.netty.handler.codec.http.EmptyHttpHeaders;
 import java.net.BindException;
 import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
@@ -21,7 +20,7 @@
 import ternscale.api.Outcome.Result;
 
 /** The connections to hosts: one pool a host, most recently used first, and a bound for all. */
-final class HostClient {
+final class HostClient implements Hosts {
   /** A rested connection is closed after this part of the time after which its host closes it. */
   private static final double IDLE_PART = 0.8;
 
@@ -66,13 +65,8 @@
     return answerBudget;
   }
 
-  /**
-   * Where a host is reached; its address may change while its name stays. An address belongs to one
-   * host at a time, the one that started last.
-   *
-   * @return the host that was known at this address until now and has gone with that, or null
-   */
-  HostEntry setAddress(HostEntry host, InetSocketAddress address) {
+  @Override
+  public HostEntry setAddress(HostEntry host, InetSocketAddress address) {
     HostEntry displaced = null;
     for (Pool other : pools.values()) {
       if (address.equals(other.address)
@@ -95,8 +89,8 @@
     return displaced;
   }
 
-  /** Lets go of a host that is listed no more; calls on their way to it go on. */
-  void forget(String host) {
+  @Override
+  public void forget(String host) {
     Pool pool = pools.remove(host);
     if (pool != null) {
       pool.forgotten = true;
@@ -104,8 +98,8 @@
     }
   }
 
-  /** Lets go of all but these. */
-  void keepOnly(Set<String> hosts) {
+  @Override
+  public void keepOnly(Set<String> hosts) {
     List<String> gone = pools.keySet().stream().filter(host -> !hosts.contains(host)).toList();
     gone.forEach(this::forget);
   }
@@ -115,8 +109,8 @@
     return pools.size();
   }
 
-  /** Starts a call, which is told how it ended on a later turn of the loop. */
-  Ticket start(String host, HostCall call) {
+  @Override
+  public Hosts.Ticket start(String host, HostCall call) {
     Ticket ticket = new Ticket(call);
     Pool pool = pools.get(host);
     if (pool == null) {
@@ -135,7 +129,8 @@
     return ticket;
   }
 
-  void closeIdle(String host) {
+  @Override
+  public void closeIdle(String host) {
     Pool pool = pools.get(host);
     if (pool != null) {
       pool.closeIdle();
@@ -163,7 +158,7 @@
   }
 
   /** One call under way; lets its owner stop waiting. */
-  final class Ticket {
+  private final class Ticket implements Hosts.Ticket {
     private final HostCall call;
     private HostConnection connection;
     private boolean over;
@@ -182,17 +177,17 @@
 
     private void fail(Result result) {
       if (!over) {
-        call.ended(result, EmptyHttpHeaders.INSTANCE);
+        call.ended(result, "");
       }
     }
 
-    /** Whether the host may have begun the call: its last byte was handed to the socket. */
-    boolean isSent() {
+    @Override
+    public boolean isSent() {
       return connection != null && connection.isSent();
     }
 
-    /** Stops waiting; the call is told nothing more. */
-    void giveUp() {
+    @Override
+    public void giveUp() {
       over = true;
       if (connection != null) {
         connection.giveUp();
--- a/src/main/java/hazelspoke/gateway/HostConnection.java
+++ b/src/main/java/hazelspoke/gateway/HostConnection.java
@@ -20,6 +20,7 @@
 import io.netty.util.concurrent.ScheduledFuture;
 import java.util.concurrent.TimeUnit;
 import ternscale.api.Outcome.Result;
+import ternscale.api.Settings.Effect;
 
 /** One connection to a host, with one call on it at a time; maps what comes back to outcomes. */
 final class HostConnection extends ChannelInboundHandlerAdapter {
@@ -87,8 +88,13 @@
     reading = false;
     headers = EmptyHttpHeaders.INSTANCE;
     guard.expectAnswer();
-    HttpRequest head = next.head(pool.authority());
-    writer = new BodyWriter(channel, head, next.body(), this::allButLastWritten);
+    Request request = next.request();
+    HttpRequest head =
+        request == null
+            ? Headers.get("/load", pool.authority())
+            : Headers.request(request, pool.authority(), next.remainingMs());
+    Body body = request == null ? new Body() : request.body();
+    writer = new BodyWriter(channel, head, body, this::allButLastWritten);
   }
 
   private void allButLastWritten(Future<? super Void> written) {
@@ -97,7 +103,8 @@
       broken();
       return;
     }
-    if (restsSince == 0 || !call.once()) {
+    Request request = call.request();
+    if (restsSince == 0 || request == null || request.effect() != Effect.ONCE) {
       // There is no news to wait for, as it came up a moment ago, or no need to know.
       gate.letGo().addListener(this::lastWritten);
       return;
@@ -148,7 +155,7 @@
       HostCall mine = call;
       call = null;
       clear();
-      mine.ended(Result.ERROR, headers);
+      mine.ended(Result.ERROR, report());
     }
     broken();
   }
@@ -271,10 +278,15 @@
       ByteBudget.Share held = share;
       answer = null;
       share = null;
-      done.answered(headers, whole, held);
+      String report = done.request() == null ? whole.text() : report();
+      done.answered(Headers.endToEnd(headers), report, whole, held);
     }
   }
 
+  private String report() {
+    return headers.get(Headers.LOAD_REPORT, "");
+  }
+
   private void rest() {
     sent = false;
     unwatchStall();
@@ -307,7 +319,7 @@
     HostCall ended = call;
     call = null;
     clear();
-    ended.ended(result, headers);
+    ended.ended(result, report());
   }
 
   private void clear() {
--- /dev/null
+++ b/src/main/java/hazelspoke/gateway/Intake.java
@@ -0,0 +1,15 @@
+package hazelspoke.gateway;
+
+/** Where fronts bring requests: the dispatcher, or a guard that stands before it. */
+public interface Intake {
+  /**
+   * A request is whole. From now on it is owed one answer, or the word that its client has gone.
+   */
+  void onRequest(Exchange exchange);
+
+  /** The client left before it had its answer; it is given none. Harmless for one answered. */
+  void onClientGone(Exchange exchange);
+
+  /** Whether a request with this id of a client's is still owed its answer. */
+  boolean isOpen(String txn);
+}
--- a/src/main/java/hazelspoke/gateway/RequestHead.java
+++ b/src/main/java/hazelspoke/gateway/RequestHead.java
@@ -18,14 +18,7 @@
  * doubled headers or paths that point elsewhere; it does harm where clients start to use a new form
  * before this page knows it.
  */
-record RequestHead(
-    HttpRequest request,
-    String txn,
-    int requestClass,
-    Effect effect,
-    int tenant,
-    double remainingMs,
-    double costHint) {
+final class RequestHead {
   private static final double MS_PER_SECOND = 1_000;
   private static final double US_PER_MS = 1_000;
 
@@ -48,8 +41,10 @@
           Headers.COST_HINT,
           Headers.IDEMPOTENCY_KEY);
 
+  private RequestHead() {}
+
   /** Reads a head; {@code settings} tell which classes there are and how they may be repeated. */
-  static RequestHead read(HttpRequest request, Names names, Settings settings)
+  static Request read(HttpRequest request, Names names, Settings settings)
       throws BadRequestException {
     HttpHeaders headers = request.headers();
     if (!request.protocolVersion().equals(HttpVersion.HTTP_1_1)
@@ -77,14 +72,18 @@
     }
     double limitMs = settings.classes().get(requestClass).deadlineMs();
     double remaining = number(headers, Headers.REMAINING, limitMs / MS_PER_SECOND);
-    return new RequestHead(
-        request,
+    return new Request(
         txn,
         requestClass,
         settings.classes().get(requestClass).effect(),
         names.tenant(headers.get(Headers.TENANT)),
         Math.min(limitMs, MS_PER_SECOND * remaining),
-        number(headers, Headers.COST_HINT, 0) / US_PER_MS);
+        number(headers, Headers.COST_HINT, 0) / US_PER_MS,
+        headers.get(Headers.KEY),
+        "1".equals(headers.get(Headers.RESENT)),
+        request.uri(),
+        Headers.endToEnd(headers),
+        new Body());
   }
 
   private static void checkPath(String uri, String className) throws BadRequestException {
