--- a/src/main/java/hazelspoke/gateway/Buffers.java
+++ b/src/main/java/hazelspoke/gateway/Buffers.java
@@ -5,7 +5,6 @@
 import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.RecvByteBufAllocator;
 import io.netty.channel.WriteBufferWaterMark;
-import io.netty.handler.codec.http.HttpDecoderConfig;
 
 /** The sizes of the buffers at the sockets: small, as a thousand sockets may each hold some. */
 final class Buffers {
@@ -16,7 +15,7 @@
 
   private static final int LEAST_READ_BYTES = 512;
   private static final int FIRST_READ_BYTES = 2_048;
-  private static final int MOST_READ_BYTES = 16_384;
+  public static final int MOST_READ_BYTES = 16_384;
 
   /** One arena, as there is one thread; no caches, as they would hold on to memory. */
   static final ByteBufAllocator ALLOCATOR =
@@ -25,20 +24,8 @@
   /** What a connection may have waiting to be written before its source is asked to stop. */
   static final WriteBufferWaterMark WATER_MARK = new WriteBufferWaterMark(16_384, 32_768);
 
-  /** Long headers occur; heads beyond this are refused. */
-  private static final int MOST_LINE_BYTES = 16_384;
-
-  private static final int MOST_HEAD_BYTES = 32_768;
-
   private Buffers() {}
 
-  static HttpDecoderConfig decoderConfig() {
-    return new HttpDecoderConfig()
-        .setMaxInitialLineLength(MOST_LINE_BYTES)
-        .setMaxHeaderSize(MOST_HEAD_BYTES)
-        .setMaxChunkSize(MOST_READ_BYTES);
-  }
-
   static RecvByteBufAllocator reads() {
     return new AdaptiveRecvByteBufAllocator(LEAST_READ_BYTES, FIRST_READ_BYTES, MOST_READ_BYTES);
   }
--- a/src/main/java/hazelspoke/gateway/ClientServer.java
+++ b/src/main/java/hazelspoke/gateway/ClientServer.java
@@ -107,7 +107,7 @@
     ClientConnection connection = new ClientConnection(this, ch);
     ch.pipeline()
         .addLast(
-            new StrictRequestDecoder(Buffers.decoderConfig()),
+            new StrictRequestDecoder(HttpLimits.decoderConfig()),
             new HttpResponseEncoder(),
             connection);
     byState.get(connection.state()).add(connection);
--- a/src/main/java/hazelspoke/gateway/GatewayConfig.java
+++ b/src/main/java/hazelspoke/gateway/GatewayConfig.java
@@ -8,6 +8,8 @@
 import java.nio.file.Files;
 import java.nio.file.InvalidPathException;
 import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Map;
 import ternscale.adapter.JsonTree;
 import ternscale.adapter.SettingsReader;
@@ -56,7 +58,7 @@
       throws ConfigException {
     try {
       JsonTree settings = config.get("settings");
-      Names names = Names.read(settings);
+      Names names = names(settings);
       if (names.classes().isEmpty()) {
         throw new ConfigException("field config.settings.grades is missing");
       }
@@ -68,7 +70,7 @@
           seed(config.get("seed")),
           config.get("limits").get("sockets").integer(USUAL_SOCKETS),
           settings.get("limits").get("open_cap").integer(Integer.MAX_VALUE),
-          HostList.read(config.get("known"), names),
+          HostListJson.read(config.get("known"), names),
           SettingsReader.read(settings),
           names);
     } catch (WireException e) {
@@ -78,6 +80,31 @@
     }
   }
 
+  private static Names names(JsonTree settings) {
+    return new Names(
+        field(settings.get("grades"), "name"),
+        field(settings.get("tenants"), "name"),
+        texts(settings.get("areas")),
+        texts(settings.get("kinds")),
+        texts(settings.get("report").get("columns")));
+  }
+
+  private static List<String> field(JsonTree list, String key) {
+    List<String> out = new ArrayList<>();
+    for (JsonTree item : list.list()) {
+      out.add(item.get(key).text(""));
+    }
+    return List.copyOf(out);
+  }
+
+  private static List<String> texts(JsonTree list) {
+    List<String> out = new ArrayList<>();
+    for (JsonTree item : list.list()) {
+      out.add(item.text(""));
+    }
+    return List.copyOf(out);
+  }
+
   private static InetSocketAddress address(JsonTree config, String key, String variable)
       throws ConfigException {
     String text = variable != null ? variable : config.get(key).text(null);
--- a/src/main/java/hazelspoke/gateway/HostConnection.java
+++ b/src/main/java/hazelspoke/gateway/HostConnection.java
@@ -41,7 +41,8 @@
   private final HostClient.Pool pool;
   private final LastByteGate gate = new LastByteGate();
   private final AnswerGuard guard = new AnswerGuard(this);
-  private final StrictResponseDecoder decoder = new StrictResponseDecoder(Buffers.decoderConfig());
+  private final StrictResponseDecoder decoder =
+      new StrictResponseDecoder(HttpLimits.decoderConfig());
   private final Channel channel;
 
   /** The call on this connection; null while it rests or reads what is left of an answer. */
--- a/src/main/java/hazelspoke/gateway/HostListReader.java
+++ b/src/main/java/hazelspoke/gateway/HostListReader.java
@@ -73,7 +73,7 @@
       }
       case END_OBJECT, END_ARRAY -> {
         if (depth == ENTRY_DEPTH && inList) {
-          HostList.Listed host = HostList.entry(JsonTree.of("endpoints", entry), names);
+          HostList.Listed host = HostListJson.entry(JsonTree.of("endpoints", entry), names);
           if (host != null) {
             line.add(host);
           }
--- /dev/null
+++ b/src/main/java/hazelspoke/gateway/HttpLimits.java
@@ -0,0 +1,20 @@
+package hazelspoke.gateway;
+
+import io.netty.handler.codec.http.HttpDecoderConfig;
+
+/** What a message's head may be at most. */
+final class HttpLimits {
+  /** Long headers occur; heads beyond this are refused. */
+  private static final int MOST_LINE_BYTES = 16_384;
+
+  private static final int MOST_HEAD_BYTES = 32_768;
+
+  private HttpLimits() {}
+
+  static HttpDecoderConfig decoderConfig() {
+    return new HttpDecoderConfig()
+        .setMaxInitialLineLength(MOST_LINE_BYTES)
+        .setMaxHeaderSize(MOST_HEAD_BYTES)
+        .setMaxChunkSize(Buffers.MOST_READ_BYTES);
+  }
+}
--- a/src/main/java/hazelspoke/gateway/Names.java
+++ b/src/main/java/hazelspoke/gateway/Names.java
@@ -2,7 +2,6 @@
 
 import java.util.ArrayList;
 import java.util.List;
-import ternscale.adapter.JsonTree;
 
 /** The names that peers use on sockets, each list in the order of the settings. */
 record Names(
@@ -11,31 +10,6 @@
     List<String> zones,
     List<String> kinds,
     List<String> reportColumns) {
-  static Names read(JsonTree settings) {
-    return new Names(
-        field(settings.get("grades"), "name"),
-        field(settings.get("tenants"), "name"),
-        texts(settings.get("areas")),
-        texts(settings.get("kinds")),
-        texts(settings.get("report").get("columns")));
-  }
-
-  private static List<String> field(JsonTree list, String key) {
-    List<String> out = new ArrayList<>();
-    for (JsonTree item : list.list()) {
-      out.add(item.get(key).text(""));
-    }
-    return List.copyOf(out);
-  }
-
-  private static List<String> texts(JsonTree list) {
-    List<String> out = new ArrayList<>();
-    for (JsonTree item : list.list()) {
-      out.add(item.text(""));
-    }
-    return List.copyOf(out);
-  }
-
   /** A tenant's place; an unknown one comes after all others, where no quota is looked for. */
   int tenant(String name) {
     int place = name == null ? 0 : tenants.indexOf(name);
