Move the gateway into packages by concern: core, front, back, discovery, node

Need: 32 classes in one flat package; every subsystem to come needs to be able to say what it may know. Change: hazelspoke.core, front.http, back.http, discovery, node, and net and http for what several of them share. Only moves, names of packages, and 'public' where another package calls.

--- a/src/main/java/hazelspoke/ArchiveCommand.java
+++ b/src/main/java/hazelspoke/ArchiveCommand.java
@@ -1,6 +1,6 @@
 package hazelspoke;
 
-import hazelspoke.gateway.ClassArchive;
+import hazelspoke.node.ClassArchive;
 import java.util.concurrent.Callable;
 import picocli.CommandLine.Command;
 
--- a/src/main/java/hazelspoke/Main.java
+++ b/src/main/java/hazelspoke/Main.java
@@ -1,7 +1,7 @@
 package hazelspoke;
 
-import hazelspoke.gateway.ClassArchive;
-import hazelspoke.gateway.Gateway;
+import hazelspoke.node.ClassArchive;
+import hazelspoke.node.Gateway;
 import java.util.Map;
 
 /**
--- a/src/main/java/hazelspoke/ServeCommand.java
+++ b/src/main/java/hazelspoke/ServeCommand.java
@@ -1,6 +1,6 @@
 package hazelspoke;
 
-import hazelspoke.gateway.Gateway;
+import hazelspoke.node.Gateway;
 import java.util.concurrent.Callable;
 import picocli.CommandLine.Command;
 
--- a/src/main/java/hazelspoke/gateway/HostClient.java
+++ b/src/main/java/hazelspoke/back/http/HostClient.java
@@ -1,5 +1,11 @@
-package hazelspoke.gateway;
+package hazelspoke.back.http;
 
+import hazelspoke.core.ByteBudget;
+import hazelspoke.core.Clock;
+import hazelspoke.core.HostCall;
+import hazelspoke.core.Hosts;
+import hazelspoke.net.Buffers;
+import hazelspoke.net.Transport;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelException;
@@ -20,7 +26,7 @@
 import ternscale.api.Outcome.Result;
 
 /** The connections to hosts: one pool a host, most recently used first, and a bound for all. */
-final class HostClient implements Hosts {
+public final class HostClient implements Hosts {
   /** A rested connection is closed after this part of the time after which its host closes it. */
   private static final double IDLE_PART = 0.8;
 
@@ -36,7 +42,7 @@
   private final Map<String, Pool> pools = new HashMap<>();
   private int connections;
 
-  HostClient(
+  public HostClient(
       EventLoop loop,
       Transport transport,
       Clock clock,
@@ -105,7 +111,7 @@
   }
 
   /** How many hosts are known. */
-  int size() {
+  public int size() {
     return pools.size();
   }
 
@@ -196,7 +202,7 @@
   }
 
   /** The connections to one host. */
-  final class Pool {
+  public final class Pool {
     private final Deque<HostConnection> idle = new ArrayDeque<>();
     private InetSocketAddress address;
     private HostEntry host;
--- a/src/main/java/hazelspoke/gateway/HostConnection.java
+++ b/src/main/java/hazelspoke/back/http/HostConnection.java
@@ -1,5 +1,12 @@
-package hazelspoke.gateway;
-
+package hazelspoke.back.http;
+
+import hazelspoke.core.Body;
+import hazelspoke.core.ByteBudget;
+import hazelspoke.core.HostCall;
+import hazelspoke.core.Request;
+import hazelspoke.http.BodyWriter;
+import hazelspoke.http.Headers;
+import hazelspoke.http.HttpLimits;
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
--- a/src/main/java/hazelspoke/gateway/LastByteGate.java
+++ b/src/main/java/hazelspoke/back/http/LastByteGate.java
@@ -1,4 +1,4 @@
-package hazelspoke.gateway;
+package hazelspoke.back.http;
 
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.ChannelFuture;
--- a/src/main/java/hazelspoke/gateway/Answer.java
+++ b/src/main/java/hazelspoke/core/Answer.java
@@ -1,4 +1,4 @@
-package hazelspoke.gateway;
+package hazelspoke.core;
 
 /**
  * The one final answer to a request.
--- a/src/main/java/hazelspoke/gateway/Body.java
+++ b/src/main/java/hazelspoke/core/Body.java
@@ -1,4 +1,4 @@
-package hazelspoke.gateway;
+package hazelspoke.core;
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
@@ -11,9 +11,9 @@
  * The bytes of a body, copied out of the read buffers: pieces of a few bytes would otherwise each
  * keep a whole one.
  */
-final class Body {
+public final class Body {
   /** The protocol allows no more, in either direction. */
-  static final int MOST_BYTES = 65_536;
+  public static final int MOST_BYTES = 65_536;
 
   private static final int FIRST_BYTES = 512;
   private static final int CHUNK_BYTES = 65_536;
@@ -22,11 +22,11 @@
   private byte[] last = new byte[0];
   private int lastLength;
 
-  long length() {
+  public long length() {
     return (long) full.size() * CHUNK_BYTES + lastLength;
   }
 
-  void append(ByteBuf bytes) {
+  public void append(ByteBuf bytes) {
     while (bytes.isReadable()) {
       if (lastLength == CHUNK_BYTES) {
         full.add(last);
@@ -44,12 +44,12 @@
   }
 
   /** A short body as text. */
-  String text() {
+  public String text() {
     return new String(last, 0, lastLength, StandardCharsets.UTF_8);
   }
 
   /** At most {@code most} bytes from {@code offset} on, not copied. */
-  ByteBuf slice(long offset, int most) {
+  public ByteBuf slice(long offset, int most) {
     int chunk = (int) (offset / CHUNK_BYTES);
     int from = (int) (offset % CHUNK_BYTES);
     byte[] bytes = chunk < full.size() ? full.get(chunk) : last;
--- a/src/main/java/hazelspoke/gateway/ByteBudget.java
+++ b/src/main/java/hazelspoke/core/ByteBudget.java
@@ -1,4 +1,4 @@
-package hazelspoke.gateway;
+package hazelspoke.core;
 
 import java.util.ArrayDeque;
 import java.util.Deque;
@@ -9,18 +9,18 @@
  * may go on into a reserve that fits the largest body. It gets done, frees what it holds, and the
  * next one in line takes its place: no deadlock, and never more than both together.
  */
-final class ByteBudget {
+public final class ByteBudget {
   private final long generalBytes;
   private final Deque<Share> waiting = new ArrayDeque<>();
   private long usedBytes;
   private Share inReserve;
 
-  ByteBudget(long generalBytes) {
+  public ByteBudget(long generalBytes) {
     this.generalBytes = generalBytes;
   }
 
   /** A holder's part; {@code mayGoOn} is run when it was paused and there is room again. */
-  Share share(Runnable mayGoOn) {
+  public Share share(Runnable mayGoOn) {
     return new Share(mayGoOn);
   }
 
@@ -44,7 +44,7 @@
   }
 
   /** What one body or answer holds. */
-  final class Share {
+  public final class Share {
     private final Runnable mayGoOn;
     private long heldBytes;
     private boolean paused;
@@ -54,7 +54,7 @@
     }
 
     /** Counts bytes that have come; false asks the holder to read no more until it is told. */
-    boolean add(long bytes) {
+    public boolean add(long bytes) {
       heldBytes += bytes;
       if (inReserve == this) {
         return true;
@@ -75,7 +75,7 @@
     }
 
     /** Gives back all that is held. */
-    void release() {
+    public void release() {
       if (inReserve == this) {
         inReserve = null;
       } else {
--- a/src/main/java/hazelspoke/gateway/Client.java
+++ b/src/main/java/hazelspoke/core/Client.java
@@ -1,4 +1,4 @@
-package hazelspoke.gateway;
+package hazelspoke.core;
 
 /** Who asked: a front's end of one request. */
 public interface Client {
--- a/src/main/java/hazelspoke/gateway/Discovery.java
+++ b/src/main/java/hazelspoke/core/Discovery.java
@@ -1,4 +1,4 @@
-package hazelspoke.gateway;
+package hazelspoke.core;
 
 /** Who tells which hosts there are. */
 public interface Discovery {
--- a/src/main/java/hazelspoke/gateway/Dispatcher.java
+++ b/src/main/java/hazelspoke/core/Dispatcher.java
@@ -1,4 +1,4 @@
-package hazelspoke.gateway;
+package hazelspoke.core;
 
 import io.netty.channel.EventLoop;
 import io.netty.util.concurrent.ScheduledFuture;
@@ -25,7 +25,7 @@
  * Every request in hand: tells the module what happens to it and does what the module says, and
  * sees to it that each gets exactly one final answer, whatever goes wrong.
  */
-final class Dispatcher implements Actions, Intake {
+public final class Dispatcher implements Actions, Intake {
   /** A request still unanswered this long after its deadline is failed here: a bug, not a rule. */
   private static final double OVERDUE_MS = 15;
 
@@ -51,7 +51,7 @@
   private int owed;
 
   /** One that takes at most {@code openCap} requests at a time and refuses what comes beyond. */
-  Dispatcher(
+  public Dispatcher(
       EventLoop loop,
       Settings settings,
       Names names,
@@ -69,7 +69,7 @@
     lag = new LoopLag(loop, clock);
   }
 
-  void start(Balancer module, Discovery client) {
+  public void start(Balancer module, Discovery client) {
     balancer = module;
     discovery = client;
   }
@@ -107,7 +107,7 @@
     }
   }
 
-  void onMembers(MembersUpdate.Kind kind, HostList.Update update) {
+  public void onMembers(MembersUpdate.Kind kind, HostList.Update update) {
     List<HostEntry> entries = new ArrayList<>();
     List<HostEntry> gone = new ArrayList<>();
     for (HostList.Listed host : update.hosts()) {
@@ -131,7 +131,7 @@
     decide(null, () -> balancer.onMembers(clock.nowMs(), news));
   }
 
-  void onDiscoveryFailed() {
+  public void onDiscoveryFailed() {
     onMembers(MembersUpdate.Kind.FAILED, new HostList.Update(false, 0, List.of()));
   }
 
--- a/src/main/java/hazelspoke/gateway/Exchange.java
+++ b/src/main/java/hazelspoke/core/Exchange.java
@@ -1,4 +1,4 @@
-package hazelspoke.gateway;
+package hazelspoke.core;
 
 import java.util.ArrayList;
 import java.util.List;
--- a/src/main/java/hazelspoke/gateway/HostCall.java
+++ b/src/main/java/hazelspoke/core/HostCall.java
@@ -1,4 +1,4 @@
-package hazelspoke.gateway;
+package hazelspoke.core;
 
 import ternscale.api.Outcome.Result;
 
--- a/src/main/java/hazelspoke/gateway/Hosts.java
+++ b/src/main/java/hazelspoke/core/Hosts.java
@@ -1,4 +1,4 @@
-package hazelspoke.gateway;
+package hazelspoke.core;
 
 import java.net.InetSocketAddress;
 import java.util.Set;
--- a/src/main/java/hazelspoke/gateway/Intake.java
+++ b/src/main/java/hazelspoke/core/Intake.java
@@ -1,4 +1,4 @@
-package hazelspoke.gateway;
+package hazelspoke.core;
 
 /** Where fronts bring requests: the dispatcher, or a guard that stands before it. */
 public interface Intake {
--- a/src/main/java/hazelspoke/gateway/Log.java
+++ b/src/main/java/hazelspoke/core/Log.java
@@ -1,9 +1,9 @@
-package hazelspoke.gateway;
+package hazelspoke.core;
 
 import java.io.PrintStream;
 
 /** Lines for the operators on standard error: few and short, whatever peers or bugs may cause. */
-final class Log {
+public final class Log {
   private static final int MOST_LINES_PER_SECOND = 20;
   private static final int LONGEST_LINE_CHARS = 400;
   private static final double SECOND_MS = 1_000;
@@ -14,12 +14,12 @@
   private int lines;
   private long dropped;
 
-  Log(PrintStream out, Clock clock) {
+  public Log(PrintStream out, Clock clock) {
     this.out = out;
     this.clock = clock;
   }
 
-  void line(String text) {
+  public void line(String text) {
     double now = clock.nowMs();
     if (now - secondStartedAt >= SECOND_MS) {
       secondStartedAt = now;
@@ -37,7 +37,7 @@
     out.println("hazelspoke: " + flat.substring(0, Math.min(flat.length(), LONGEST_LINE_CHARS)));
   }
 
-  void failure(String where, Throwable cause) {
+  public void failure(String where, Throwable cause) {
     StackTraceElement[] trace = cause.getStackTrace();
     line(where + ": " + cause + (trace.length > 0 ? " at " + trace[0] : ""));
   }
--- a/src/main/java/hazelspoke/gateway/LoopLag.java
+++ b/src/main/java/hazelspoke/core/LoopLag.java
@@ -1,4 +1,4 @@
-package hazelspoke.gateway;
+package hazelspoke.core;
 
 import io.netty.channel.EventLoop;
 import java.util.concurrent.TimeUnit;
--- a/src/main/java/hazelspoke/gateway/Metadata.java
+++ b/src/main/java/hazelspoke/core/Metadata.java
@@ -1,4 +1,4 @@
-package hazelspoke.gateway;
+package hazelspoke.core;
 
 import io.netty.util.AsciiString;
 import java.util.Arrays;
--- a/src/main/java/hazelspoke/gateway/Names.java
+++ b/src/main/java/hazelspoke/core/Names.java
@@ -1,23 +1,23 @@
-package hazelspoke.gateway;
+package hazelspoke.core;
 
 import java.util.ArrayList;
 import java.util.List;
 
 /** The names that peers use on sockets, each list in the order of the settings. */
-record Names(
+public record Names(
     List<String> classes,
     List<String> tenants,
     List<String> zones,
     List<String> kinds,
     List<String> reportColumns) {
   /** A tenant's place; an unknown one comes after all others, where no quota is looked for. */
-  int tenant(String name) {
+  public int tenant(String name) {
     int place = name == null ? 0 : tenants.indexOf(name);
     return place < 0 ? tenants.size() : place;
   }
 
   /** A kind's place; all unknown ones share the place after the known. */
-  int kind(String name) {
+  public int kind(String name) {
     int place = kinds.indexOf(name);
     return place < 0 ? kinds.size() : place;
   }
--- a/src/main/java/hazelspoke/gateway/DiscoveryClient.java
+++ b/src/main/java/hazelspoke/discovery/DiscoveryClient.java
@@ -1,5 +1,12 @@
-package hazelspoke.gateway;
+package hazelspoke.discovery;
 
+import hazelspoke.core.Clock;
+import hazelspoke.core.Discovery;
+import hazelspoke.core.HostList;
+import hazelspoke.core.Log;
+import hazelspoke.core.Names;
+import hazelspoke.net.Buffers;
+import hazelspoke.net.Transport;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.ByteBufUtil;
 import io.netty.channel.Channel;
@@ -34,7 +41,7 @@
  * The calls to discovery: one watch at most, and look-ups. When to call is the module's to say;
  * only a pushed list, which nobody asks for, is kept up from here.
  */
-final class DiscoveryClient implements Discovery {
+public final class DiscoveryClient implements Discovery {
   /** An empty line comes every 2 s; a watch silent for longer than this is broken. */
   private static final double WATCH_SILENCE_MS = 2_500;
 
@@ -51,7 +58,7 @@
    * @param pushed whether the list is told unasked, so that the watch is held from here
    * @param version of the list that the gateway has
    */
-  record Start(InetSocketAddress address, boolean pushed, Names names, long version) {}
+  public record Start(InetSocketAddress address, boolean pushed, Names names, long version) {}
 
   private final Bootstrap bootstrap;
   private final Transport transport;
@@ -66,7 +73,7 @@
   private final Set<Call> calls = new HashSet<>();
   private Call watch;
 
-  DiscoveryClient(
+  public DiscoveryClient(
       EventLoop loop,
       Transport transport,
       Start start,
@@ -93,7 +100,7 @@
   }
 
   /** Where lists are pushed the gateway holds the watch itself, from the start. */
-  void start() {
+  public void start() {
     if (pushed) {
       watch(true);
     }
@@ -120,7 +127,7 @@
    * Turns to discovery at another address, at once and with a watch from its beginning: versions of
    * one service say nothing of another's. What the old one still says is not heard.
    */
-  void moveTo(InetSocketAddress next) {
+  public void moveTo(InetSocketAddress next) {
     if (next.equals(address)) {
       return;
     }
@@ -134,7 +141,7 @@
     askedOfOld.forEach(call -> lookup());
   }
 
-  void close() {
+  public void close() {
     watch(false);
   }
 
--- a/src/main/java/hazelspoke/gateway/HostListJson.java
+++ b/src/main/java/hazelspoke/discovery/HostListJson.java
@@ -1,5 +1,8 @@
-package hazelspoke.gateway;
+package hazelspoke.discovery;
 
+import hazelspoke.core.HostList;
+import hazelspoke.core.Names;
+import hazelspoke.net.Addresses;
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.List;
@@ -8,10 +11,10 @@
 import ternscale.api.HostEntry.Availability;
 
 /** Discovery's way to write down hosts, in the configuration and in answers alike. */
-final class HostListJson {
+public final class HostListJson {
   private HostListJson() {}
 
-  static HostList.Update read(JsonTree list, Names names) {
+  public static HostList.Update read(JsonTree list, Names names) {
     List<HostList.Listed> hosts = new ArrayList<>();
     for (JsonTree entry : list.get("endpoints").list()) {
       HostList.Listed host = entry(entry, names);
@@ -27,7 +30,7 @@
    * One entry, or null for a host that cannot be used: in a zone that the settings do not list, as
    * rule 2 hangs on zones and two unknown ones could not be told apart, or without an address.
    */
-  static HostList.Listed entry(JsonTree e, Names names) {
+  public static HostList.Listed entry(JsonTree e, Names names) {
     String name = e.get("name").text(null);
     if (name == null) {
       throw e.get("name").fail("is missing");
--- a/src/main/java/hazelspoke/gateway/HostListReader.java
+++ b/src/main/java/hazelspoke/discovery/HostListReader.java
@@ -1,9 +1,11 @@
-package hazelspoke.gateway;
+package hazelspoke.discovery;
 
 import com.fasterxml.jackson.core.JsonFactory;
 import com.fasterxml.jackson.core.JsonParser;
 import com.fasterxml.jackson.core.JsonToken;
 import com.fasterxml.jackson.core.async.ByteArrayFeeder;
+import hazelspoke.core.HostList;
+import hazelspoke.core.Names;
 import java.io.IOException;
 import java.util.ArrayList;
 import java.util.HashMap;
--- a/src/main/java/hazelspoke/emulator/run/LocalGateways.java
+++ b/src/main/java/hazelspoke/emulator/run/LocalGateways.java
@@ -1,6 +1,6 @@
 package hazelspoke.emulator.run;
 
-import hazelspoke.gateway.Gateway;
+import hazelspoke.node.Gateway;
 import java.io.IOException;
 import java.io.PrintStream;
 import java.nio.file.Path;
--- a/src/main/java/hazelspoke/gateway/BadRequestException.java
+++ b/src/main/java/hazelspoke/front/http/BadRequestException.java
@@ -1,4 +1,4 @@
-package hazelspoke.gateway;
+package hazelspoke.front.http;
 
 import io.netty.handler.codec.http.HttpResponseStatus;
 
--- a/src/main/java/hazelspoke/gateway/ClientConnection.java
+++ b/src/main/java/hazelspoke/front/http/ClientConnection.java
@@ -1,5 +1,13 @@
-package hazelspoke.gateway;
-
+package hazelspoke.front.http;
+
+import hazelspoke.core.Answer;
+import hazelspoke.core.Body;
+import hazelspoke.core.ByteBudget;
+import hazelspoke.core.Client;
+import hazelspoke.core.Exchange;
+import hazelspoke.core.Metadata;
+import hazelspoke.http.BodyWriter;
+import hazelspoke.http.Headers;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
--- a/src/main/java/hazelspoke/gateway/ClientServer.java
+++ b/src/main/java/hazelspoke/front/http/ClientServer.java
@@ -1,6 +1,15 @@
-package hazelspoke.gateway;
-
-import hazelspoke.gateway.ClientConnection.State;
+package hazelspoke.front.http;
+
+import hazelspoke.core.ByteBudget;
+import hazelspoke.core.Clock;
+import hazelspoke.core.Exchange;
+import hazelspoke.core.Intake;
+import hazelspoke.core.Names;
+import hazelspoke.core.Request;
+import hazelspoke.front.http.ClientConnection.State;
+import hazelspoke.http.HttpLimits;
+import hazelspoke.net.Buffers;
+import hazelspoke.net.Transport;
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
@@ -20,7 +29,7 @@
 import ternscale.api.Settings;
 
 /** Takes clients' connections in and keeps their number within the sockets there are. */
-final class ClientServer {
+public final class ClientServer {
   private static final int BACKLOG = 4_096;
 
   private static final long SWEEP_MS = 200;
@@ -60,7 +69,7 @@
   private boolean ready;
   private boolean leaving;
 
-  ClientServer(
+  public ClientServer(
       EventLoop loop,
       Clock clock,
       Names names,
@@ -81,7 +90,7 @@
     loop.scheduleAtFixedRate(this::sweep, SWEEP_MS, SWEEP_MS, TimeUnit.MILLISECONDS);
   }
 
-  ChannelFuture listen(Transport transport, InetSocketAddress address) {
+  public ChannelFuture listen(Transport transport, InetSocketAddress address) {
     ChannelFuture binding =
         new ServerBootstrap()
             .group(loop)
@@ -158,13 +167,13 @@
     return null;
   }
 
-  void changed(ClientConnection connection, State before) {
+  public void changed(ClientConnection connection, State before) {
     if (byState.get(before).remove(connection)) {
       byState.get(connection.state()).add(connection);
     }
   }
 
-  void closed(ClientConnection connection) {
+  public void closed(ClientConnection connection) {
     if (byState.get(connection.state()).remove(connection)) {
       open--;
     }
@@ -188,15 +197,15 @@
     }
   }
 
-  double nowMs() {
+  public double nowMs() {
     return clock.nowMs();
   }
 
-  boolean isReady() {
+  public boolean isReady() {
     return ready;
   }
 
-  boolean isLeaving() {
+  public boolean isLeaving() {
     return leaving;
   }
 
@@ -206,15 +215,15 @@
   }
 
   /** Whether another request with the same id is open; that one goes on. */
-  boolean isOpen(Exchange exchange) {
+  public boolean isOpen(Exchange exchange) {
     return intake.isOpen(exchange.request().txn());
   }
 
-  void taken(Exchange exchange) {
+  public void taken(Exchange exchange) {
     intake.onRequest(exchange);
   }
 
-  void clientGone(Exchange exchange) {
+  public void clientGone(Exchange exchange) {
     intake.onClientGone(exchange);
   }
 
@@ -222,12 +231,12 @@
    * The gateway is unready, and goes on serving: who has a connection may use it to the end, as the
    * others may be busy or away themselves. At the end all come to the others at once.
    */
-  void drain() {
+  public void drain() {
     ready = false;
   }
 
   /** Nothing new comes any more; what rests may go, and every answer is its connection's last. */
-  void stopListening() {
+  public void stopListening() {
     leaving = true;
     listener.close();
     List.copyOf(byState.get(State.FRESH)).forEach(ClientConnection::closeGracefully);
@@ -235,7 +244,7 @@
   }
 
   /** Whether a request is coming or in hand, or an answer not yet written. */
-  boolean isBusy() {
+  public boolean isBusy() {
     return Stream.of(State.READING, State.IN_HAND, State.ANSWERING)
         .anyMatch(state -> !byState.get(state).isEmpty());
   }
--- a/src/main/java/hazelspoke/gateway/RequestHead.java
+++ b/src/main/java/hazelspoke/front/http/RequestHead.java
@@ -1,5 +1,9 @@
-package hazelspoke.gateway;
+package hazelspoke.front.http;
 
+import hazelspoke.core.Body;
+import hazelspoke.core.Names;
+import hazelspoke.core.Request;
+import hazelspoke.http.Headers;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
--- a/src/main/java/hazelspoke/gateway/BodyWriter.java
+++ b/src/main/java/hazelspoke/http/BodyWriter.java
@@ -1,5 +1,6 @@
-package hazelspoke.gateway;
+package hazelspoke.http;
 
+import hazelspoke.core.Body;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFutureListener;
 import io.netty.handler.codec.http.DefaultHttpContent;
@@ -10,7 +11,7 @@
  * Writes one message with its body, in pieces as the peer takes them: what waits at a socket is
  * copied outside the heap, and many slow peers at once must not fill that memory.
  */
-final class BodyWriter {
+public final class BodyWriter {
   private static final int PIECE_BYTES = 16_384;
 
   private final Channel channel;
@@ -19,7 +20,8 @@
   private long offset;
   private boolean done;
 
-  BodyWriter(Channel channel, HttpMessage head, Body body, ChannelFutureListener whenWritten) {
+  public BodyWriter(
+      Channel channel, HttpMessage head, Body body, ChannelFutureListener whenWritten) {
     this.channel = channel;
     this.body = body;
     this.whenWritten = whenWritten;
@@ -28,7 +30,7 @@
   }
 
   /** Goes on; to be called whenever the channel has become writable. */
-  void resume() {
+  public void resume() {
     while (!done && offset < body.length() && channel.isWritable()) {
       var piece = body.slice(offset, PIECE_BYTES);
       offset += piece.readableBytes();
--- a/src/main/java/hazelspoke/gateway/Headers.java
+++ b/src/main/java/hazelspoke/http/Headers.java
@@ -1,5 +1,7 @@
-package hazelspoke.gateway;
+package hazelspoke.http;
 
+import hazelspoke.core.Metadata;
+import hazelspoke.core.Request;
 import io.netty.handler.codec.http.DefaultHttpRequest;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
@@ -13,17 +15,17 @@
 import ternscale.api.Settings.Effect;
 
 /** The headers of this deployment's protocol, and those that end at a gateway. */
-final class Headers {
-  static final String TXN = "X-Txn";
-  static final String IDEMPOTENCY_KEY = "Idempotency-Key";
-  static final String CLASS = "X-Lane";
-  static final String TENANT = "X-Org";
-  static final String KEY = "X-Entity";
-  static final String REMAINING = "X-Remaining";
-  static final String RESENT = "X-Resent";
-  static final String COST_HINT = "X-Estimate";
-  static final String TURNED_AWAY = "X-Turned-Away";
-  static final String LOAD_REPORT = "X-Pressure";
+public final class Headers {
+  public static final String TXN = "X-Txn";
+  public static final String IDEMPOTENCY_KEY = "Idempotency-Key";
+  public static final String CLASS = "X-Lane";
+  public static final String TENANT = "X-Org";
+  public static final String KEY = "X-Entity";
+  public static final String REMAINING = "X-Remaining";
+  public static final String RESENT = "X-Resent";
+  public static final String COST_HINT = "X-Estimate";
+  public static final String TURNED_AWAY = "X-Turned-Away";
+  public static final String LOAD_REPORT = "X-Pressure";
 
   /** Those that speak of one connection or of how a message is cut, not of the message. */
   private static final Set<String> HOP_BY_HOP =
@@ -41,7 +43,7 @@
   private Headers() {}
 
   /** What of these goes on to a message's other end. */
-  static Metadata endToEnd(HttpHeaders from) {
+  public static Metadata endToEnd(HttpHeaders from) {
     Metadata to = new Metadata();
     String named =
         String.join(",", from.getAll(HttpHeaderNames.CONNECTION)).toLowerCase(Locale.ROOT);
@@ -55,14 +57,14 @@
     return to;
   }
 
-  static void add(Metadata from, HttpHeaders to) {
+  public static void add(Metadata from, HttpHeaders to) {
     for (int i = 0; i < from.size(); i++) {
       to.add(from.name(i), from.value(i));
     }
   }
 
   /** The head for a host: all that the client sent for it, and how long an answer is awaited. */
-  static HttpRequest request(Request request, String authority, double remainingMs) {
+  public static HttpRequest request(Request request, String authority, double remainingMs) {
     boolean safe = request.effect() == Effect.REPEATABLE;
     HttpRequest to =
         new DefaultHttpRequest(
@@ -79,14 +81,14 @@
    * A time in seconds, to the millisecond below. Every request bears one, and {@link String#format}
    * alone took a fifteenth of the time that a request takes in a gateway just started.
    */
-  static String seconds(double ms) {
+  public static String seconds(double ms) {
     long whole = (long) ms;
     String thousandths = Long.toString(1_000 + whole % 1_000).substring(1);
     return whole / 1_000 + "." + thousandths;
   }
 
   /** A request for this path, with nothing to it. */
-  static HttpRequest get(String path, String authority) {
+  public static HttpRequest get(String path, String authority) {
     HttpRequest request = new DefaultHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, path);
     request.headers().set(HttpHeaderNames.HOST, authority);
     return request;
--- a/src/main/java/hazelspoke/gateway/HttpLimits.java
+++ b/src/main/java/hazelspoke/http/HttpLimits.java
@@ -1,9 +1,10 @@
-package hazelspoke.gateway;
+package hazelspoke.http;
 
+import hazelspoke.net.Buffers;
 import io.netty.handler.codec.http.HttpDecoderConfig;
 
 /** What a message's head may be at most. */
-final class HttpLimits {
+public final class HttpLimits {
   /** Long headers occur; heads beyond this are refused. */
   private static final int MOST_LINE_BYTES = 16_384;
 
@@ -11,7 +12,7 @@
 
   private HttpLimits() {}
 
-  static HttpDecoderConfig decoderConfig() {
+  public static HttpDecoderConfig decoderConfig() {
     return new HttpDecoderConfig()
         .setMaxInitialLineLength(MOST_LINE_BYTES)
         .setMaxHeaderSize(MOST_HEAD_BYTES)
--- a/src/main/java/hazelspoke/gateway/Addresses.java
+++ b/src/main/java/hazelspoke/net/Addresses.java
@@ -1,4 +1,4 @@
-package hazelspoke.gateway;
+package hazelspoke.net;
 
 import io.netty.util.NetUtil;
 import java.net.InetAddress;
@@ -6,13 +6,13 @@
 import java.net.UnknownHostException;
 
 /** Socket addresses as text. Only figures: there is no DNS, and a look-up would stop the loop. */
-final class Addresses {
+public final class Addresses {
   private static final int HIGHEST_PORT = 65_535;
 
   private Addresses() {}
 
   /** The address that {@code text}, such as 10.0.0.4:8081, stands for; null if it is none. */
-  static InetSocketAddress parse(String text) {
+  public static InetSocketAddress parse(String text) {
     int colon = text.lastIndexOf(':');
     byte[] ip =
         colon < 0 ? null : NetUtil.createByteArrayFromIpAddressString(text.substring(0, colon));
--- a/src/main/java/hazelspoke/gateway/Buffers.java
+++ b/src/main/java/hazelspoke/net/Buffers.java
@@ -1,4 +1,4 @@
-package hazelspoke.gateway;
+package hazelspoke.net;
 
 import io.netty.buffer.ByteBufAllocator;
 import io.netty.buffer.PooledByteBufAllocator;
@@ -7,7 +7,7 @@
 import io.netty.channel.WriteBufferWaterMark;
 
 /** The sizes of the buffers at the sockets: small, as a thousand sockets may each hold some. */
-final class Buffers {
+public final class Buffers {
   private static final int PAGE_BYTES = 8_192;
 
   /** Chunks of 1 MiB, or the pool would take memory in steps that do not fit the limit. */
@@ -18,15 +18,15 @@
   public static final int MOST_READ_BYTES = 16_384;
 
   /** One arena, as there is one thread; no caches, as they would hold on to memory. */
-  static final ByteBufAllocator ALLOCATOR =
+  public static final ByteBufAllocator ALLOCATOR =
       new PooledByteBufAllocator(true, 0, 1, PAGE_BYTES, CHUNK_ORDER, 0, 0, false);
 
   /** What a connection may have waiting to be written before its source is asked to stop. */
-  static final WriteBufferWaterMark WATER_MARK = new WriteBufferWaterMark(16_384, 32_768);
+  public static final WriteBufferWaterMark WATER_MARK = new WriteBufferWaterMark(16_384, 32_768);
 
   private Buffers() {}
 
-  static RecvByteBufAllocator reads() {
+  public static RecvByteBufAllocator reads() {
     return new AdaptiveRecvByteBufAllocator(LEAST_READ_BYTES, FIRST_READ_BYTES, MOST_READ_BYTES);
   }
 }
--- a/src/main/java/hazelspoke/gateway/Transport.java
+++ b/src/main/java/hazelspoke/net/Transport.java
@@ -1,4 +1,4 @@
-package hazelspoke.gateway;
+package hazelspoke.net;
 
 import io.netty.channel.Channel;
 import io.netty.channel.ServerChannel;
@@ -13,15 +13,15 @@
 
 /**
  * Of what make a gateway's sockets are, and where an address lies: at itself in service, in a file
- * of its own while {@link WarmUp} plays. Delay-free sending and reuse of the address are what TCP
- * has here unasked.
+ * of its own while a warm-up plays. Delay-free sending and reuse of the address are what TCP has
+ * here unasked.
  */
-record Transport(
+public record Transport(
     Class<? extends ServerChannel> server,
     Class<? extends Channel> client,
     UnaryOperator<SocketAddress> listening,
     UnaryOperator<SocketAddress> calling) {
-  static final Transport TCP =
+  public static final Transport TCP =
       new Transport(
           NioServerSocketChannel.class,
           NioSocketChannel.class,
@@ -29,7 +29,7 @@
           UnaryOperator.identity());
 
   /** Sockets in the file system: whoever is called, it is the one that listens at {@code peer}. */
-  static Transport local(Path own, Path peer) {
+  public static Transport local(Path own, Path peer) {
     return new Transport(
         NioServerDomainSocketChannel.class,
         NioDomainSocketChannel.class,
--- a/src/main/java/hazelspoke/gateway/ClassArchive.java
+++ b/src/main/java/hazelspoke/node/ClassArchive.java
@@ -1,5 +1,8 @@
-package hazelspoke.gateway;
+package hazelspoke.node;
 
+import hazelspoke.core.Clock;
+import hazelspoke.core.Log;
+import hazelspoke.net.Transport;
 import java.io.IOException;
 import java.io.OutputStream;
 import java.io.PrintStream;
--- a/src/main/java/hazelspoke/gateway/ConfigException.java
+++ b/src/main/java/hazelspoke/node/ConfigException.java
@@ -1,4 +1,4 @@
-package hazelspoke.gateway;
+package hazelspoke.node;
 
 /** A configuration that cannot be used; the message is one line and names the field. */
 final class ConfigException extends Exception {
--- a/src/main/java/hazelspoke/gateway/Gateway.java
+++ b/src/main/java/hazelspoke/node/Gateway.java
@@ -1,5 +1,13 @@
-package hazelspoke.gateway;
-
+package hazelspoke.node;
+
+import hazelspoke.back.http.HostClient;
+import hazelspoke.core.ByteBudget;
+import hazelspoke.core.Clock;
+import hazelspoke.core.Dispatcher;
+import hazelspoke.core.Log;
+import hazelspoke.discovery.DiscoveryClient;
+import hazelspoke.front.http.ClientServer;
+import hazelspoke.net.Transport;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.EventLoop;
 import io.netty.channel.EventLoopGroup;
--- a/src/main/java/hazelspoke/gateway/GatewayConfig.java
+++ b/src/main/java/hazelspoke/node/GatewayConfig.java
@@ -1,8 +1,12 @@
-package hazelspoke.gateway;
+package hazelspoke.node;
 
 import com.fasterxml.jackson.core.JsonFactory;
 import com.fasterxml.jackson.core.JsonParser;
 import com.fasterxml.jackson.core.JsonProcessingException;
+import hazelspoke.core.HostList;
+import hazelspoke.core.Names;
+import hazelspoke.discovery.HostListJson;
+import hazelspoke.net.Addresses;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.file.Files;
--- a/src/main/java/hazelspoke/gateway/WarmUp.java
+++ b/src/main/java/hazelspoke/node/WarmUp.java
@@ -1,5 +1,8 @@
-package hazelspoke.gateway;
+package hazelspoke.node;
 
+import hazelspoke.core.Client;
+import hazelspoke.core.Log;
+import hazelspoke.net.Transport;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.buffer.ByteBuf;
--- a/src/test/java/hazelspoke/ArchitectureTest.java
+++ b/src/test/java/hazelspoke/ArchitectureTest.java
@@ -1,5 +1,6 @@
 package hazelspoke;
 
+import static com.tngtech.archunit.lang.syntax.ArchRuleDefinition.classes;
 import static com.tngtech.archunit.lang.syntax.ArchRuleDefinition.noClasses;
 import static com.tngtech.archunit.library.dependencies.SlicesRuleDefinition.slices;
 
@@ -16,15 +17,81 @@
           .withImportOption(ImportOption.Predefined.DO_NOT_INCLUDE_TESTS)
           .importPackages("hazelspoke", "ternscale");
 
+  /** What a gateway is made of. */
+  private static final String[] IN_SERVICE = {
+    "hazelspoke.core..",
+    "hazelspoke.net..",
+    "hazelspoke.http..",
+    "hazelspoke.front..",
+    "hazelspoke.back..",
+    "hazelspoke.discovery..",
+    "hazelspoke.node..",
+    "ternscale.."
+  };
+
+  @Test
+  void nothingInServiceKnowsTheEmulatorTheBenchmarkOrTheirLibraries() {
+    noClasses()
+        .that()
+        .resideInAnyPackage(IN_SERVICE)
+        .should()
+        .dependOnClassesThat()
+        .resideInAnyPackage(
+            "hazelspoke.emulator..",
+            "hazelspoke.bench..",
+            "hazelspoke",
+            "picocli..",
+            "org.tomlj..",
+            "org.HdrHistogram..")
+        .check(CLASSES);
+  }
+
+  @Test
+  void theCoreKnowsNoProtocolAndNobodyRoundIt() {
+    classes()
+        .that()
+        .resideInAPackage("hazelspoke.core..")
+        .should()
+        .onlyDependOnClassesThat()
+        .resideInAnyPackage(
+            "hazelspoke.core..",
+            "ternscale.api..",
+            "java..",
+            "io.netty.buffer..",
+            "io.netty.channel",
+            "io.netty.util..")
+        .check(CLASSES);
+  }
+
+  /** What both ends of HTTP share lies in a package that knows neither. */
   @Test
-  void nothingInServiceKnowsTheEmulatorOrItsLibraries() {
+  void frontsAndBacksDoNotKnowOneAnotherNorWhoWiresThem() {
+    noClasses()
+        .that()
+        .resideInAnyPackage("hazelspoke.front..")
+        .should()
+        .dependOnClassesThat()
+        .resideInAnyPackage("hazelspoke.back..", "hazelspoke.discovery..", "hazelspoke.node..")
+        .check(CLASSES);
     noClasses()
         .that()
-        .resideInAnyPackage("hazelspoke.gateway..", "ternscale..")
+        .resideInAnyPackage("hazelspoke.back..")
         .should()
         .dependOnClassesThat()
-        .resideInAnyPackage("hazelspoke.emulator..", "hazelspoke", "picocli..", "org.tomlj..")
+        .resideInAnyPackage("hazelspoke.front..", "hazelspoke.discovery..", "hazelspoke.node..")
         .check(CLASSES);
+    noClasses()
+        .that()
+        .resideInAnyPackage("hazelspoke.discovery..", "hazelspoke.http..", "hazelspoke.net..")
+        .should()
+        .dependOnClassesThat()
+        .resideInAnyPackage("hazelspoke.front..", "hazelspoke.back..", "hazelspoke.node..")
+        .check(CLASSES);
+  }
+
+  @Test
+  void thePartsGoInNoCircle() {
+    slices().matching("hazelspoke.(*)..").should().beFreeOfCycles().check(CLASSES);
   }
 
   @Test
@@ -63,7 +130,7 @@
             "hazelspoke.emulator.script..")
         .should()
         .dependOnClassesThat()
-        .resideInAnyPackage("hazelspoke.gateway..", "ternscale..")
+        .resideInAnyPackage(IN_SERVICE)
         .check(CLASSES);
   }
 
--- a/src/test/java/hazelspoke/MainTest.java
+++ b/src/test/java/hazelspoke/MainTest.java
@@ -104,7 +104,14 @@
     assertThat(process.waitFor()).isEqualTo(1);
     assertThat(log)
         .contains("variable NODE_CONFIG is missing")
-        .contains("hazelspoke.gateway.GatewayConfig")
-        .doesNotContain("picocli", "tomlj", "antlr", "hazelspoke.emulator", "hazelspoke.Commands");
+        .contains("hazelspoke.node.GatewayConfig")
+        .doesNotContain(
+            "picocli",
+            "tomlj",
+            "antlr",
+            "hazelspoke.emulator",
+            "hazelspoke.bench",
+            "HdrHistogram",
+            "hazelspoke.Commands");
   }
 }
--- a/src/test/java/hazelspoke/gateway/BadClientsTest.java
+++ b/src/test/java/hazelspoke/node/BadClientsTest.java
@@ -1,4 +1,4 @@
-package hazelspoke.gateway;
+package hazelspoke.node;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
--- a/src/test/java/hazelspoke/gateway/ChurnTest.java
+++ b/src/test/java/hazelspoke/node/ChurnTest.java
@@ -1,7 +1,11 @@
-package hazelspoke.gateway;
+package hazelspoke.node;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import hazelspoke.back.http.HostClient;
+import hazelspoke.core.ByteBudget;
+import hazelspoke.core.Clock;
+import hazelspoke.net.Transport;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
--- a/src/test/java/hazelspoke/gateway/ClassArchiveTest.java
+++ b/src/test/java/hazelspoke/node/ClassArchiveTest.java
@@ -1,7 +1,9 @@
-package hazelspoke.gateway;
+package hazelspoke.node;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import hazelspoke.core.Clock;
+import hazelspoke.core.Log;
 import java.io.ByteArrayOutputStream;
 import java.io.PrintStream;
 import org.junit.jupiter.api.Test;
--- a/src/test/java/hazelspoke/gateway/FakeServer.java
+++ b/src/test/java/hazelspoke/node/FakeServer.java
@@ -1,4 +1,4 @@
-package hazelspoke.gateway;
+package hazelspoke.node;
 
 import java.io.IOException;
 import java.io.InputStream;
--- a/src/test/java/hazelspoke/gateway/Rig.java
+++ b/src/test/java/hazelspoke/node/Rig.java
@@ -1,5 +1,6 @@
-package hazelspoke.gateway;
+package hazelspoke.node;
 
+import hazelspoke.net.Transport;
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.io.OutputStream;
