--- a/src/main/java/hazelspoke/bench/Subject.java
+++ b/src/main/java/hazelspoke/bench/Subject.java
@@ -16,6 +16,7 @@
  */
 final class Subject implements AutoCloseable {
   private static final long START_S = 30;
+  private static final long END_S = 20;
   private static final long STEP_MS = 20;
 
   private final String name;
@@ -90,9 +91,12 @@
 
   @Override
   public void close() {
-    process.destroyForcibly();
+    // By SIGTERM first, as a recording is written at the end.
+    process.destroy();
     try {
-      process.waitFor();
+      if (!process.waitFor(END_S, TimeUnit.SECONDS)) {
+        process.destroyForcibly().waitFor();
+      }
     } catch (InterruptedException e) {
       Thread.currentThread().interrupt();
     }
