Choose among a thousand hosts by looking first where ties are won

Change: nobody holds fewer than none. Where two ready hosts of the own part are idle they are among the ties, and the rest is not looked at; where hosts remember keys the hash is worked out for idle hosts alone, and only one that may be among the first is asked and costs a logarithm. Where that does not apply, and while any host is cold (to be asked ages its budget), the scan is as before.

--- a/src/main/java/ternscale/policy/Admission.java
+++ b/src/main/java/ternscale/policy/Admission.java
@@ -27,9 +27,7 @@
 
   private static final double USUAL_SPAN_MS = 100;
 
-  /**
-   * The level moves by time, whatever the traffic; in balance where one outcome in seven is bad.
-   */
+  /** The level moves by time, whatever the traffic; in balance where an outcome in 7 is bad. */
   private static final double RISE_PER_MS = 0.9e-3;
 
   /** Without repeats what is late feeds no jam (bc-screening); known only where they are marked. */
--- a/src/main/java/ternscale/policy/ColdStart.java
+++ b/src/main/java/ternscale/policy/ColdStart.java
@@ -19,10 +19,7 @@
   /** The rate is read off only while at least this part of the hosts is warm. */
   private static final double WARM_SHARE = 0.5;
 
-  /**
-   * Part of the permitted multiple used: a host may be half as fast as the mean, gateways' parts do
-   * not add up evenly, and bursts come on top.
-   */
+  /** Part of the multiple used: hosts may be slow, gateways' parts uneven, and bursts come. */
   private static final double PART_OF_MULTIPLE = 0.35;
 
   /** Credit that may be saved up, in mean requests; little, as all gateways save at once. */
@@ -37,6 +34,10 @@
   private double peakAt;
   private int listed;
   private int warm;
+
+  /** From when on no host that is up is cold. */
+  double coldUntil;
+
   private double at;
 
   ColdStart(Rules rules, Random random, double now) {
@@ -91,10 +92,7 @@
     }
   }
 
-  /**
-   * What a warm host is seen to bear from this gateway. A slowly fading peak: by the present rate,
-   * a deploy would cut what is served, so the budget, so what is served, for good.
-   */
+  /** What a warm host bears from here: a fading peak, as a deploy cuts the rate of the moment. */
   private double bornePerHost(double now) {
     double keep = Math.exp((peakAt - now) / PEAK_MEMORY_MS);
     peakAt = now;
@@ -111,6 +109,7 @@
   void census(List<Host> up, double now) {
     listed = up.size();
     warm = (int) up.stream().filter(h -> !isCold(h, now)).count();
+    coldUntil = up.stream().mapToDouble(h -> h.startedAt).max().orElse(0) + rules.coldMs() + 1;
     bornePerHost(now);
   }
 
--- a/src/main/java/ternscale/policy/Host.java
+++ b/src/main/java/ternscale/policy/Host.java
@@ -3,9 +3,7 @@
 import ternscale.api.HostEntry;
 import ternscale.api.HostEntry.Availability;
 
-/**
- * One host as this gateway alone knows it: what is listed, what it holds of ours, what we learned.
- */
+/** One host as this gateway alone knows it: what is listed, held of ours, and learned. */
 final class Host {
   final String id;
   int zone;
--- a/src/main/java/ternscale/policy/HostTable.java
+++ b/src/main/java/ternscale/policy/HostTable.java
@@ -3,8 +3,8 @@
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.Comparator;
-import java.util.HashMap;
 import java.util.HashSet;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -56,9 +56,9 @@
   /** With short ones out, a host that has said nothing for this part of the aim hangs or pauses. */
   private static final double QUIET_PART = 0.5;
 
-  private final Map<String, Host> byId = new HashMap<>();
-  private final List<Host> all = new ArrayList<>();
-  private final ColdStart coldStart;
+  private final Map<String, Host> byId = new LinkedHashMap<>();
+  private Host[] all = new Host[0];
+  final ColdStart coldStart;
   private final double[] classLatency;
   private final double[] classWork;
   private double[] kindSlow = new double[1];
@@ -77,7 +77,7 @@
     ownZone = settings.zone();
   }
 
-  List<Host> all() {
+  Host[] all() {
     return all;
   }
 
@@ -92,12 +92,7 @@
     Set<String> named = new HashSet<>();
     for (HostEntry e : update.entries()) {
       named.add(e.host());
-      Host h = byId.get(e.host());
-      if (h == null) {
-        h = new Host(e.host());
-        byId.put(e.host(), h);
-        all.add(h);
-      }
+      Host h = byId.computeIfAbsent(e.host(), Host::new);
       if (h.apply(e)) {
         coldStart.begin(h, now);
       }
@@ -107,7 +102,7 @@
       }
     }
     ring.clear();
-    for (Host h : all) {
+    for (Host h : byId.values()) {
       if (update.kind() != MembersUpdate.Kind.DELTA && !named.contains(h.id)) {
         h.availability = Availability.GONE;
       }
@@ -116,8 +111,8 @@
       }
     }
     // Hosts come under ever new ids; one that has gone stays only for what is still out on it.
-    all.removeIf(
-        h -> h.availability == Availability.GONE && h.inFlight == 0 && byId.remove(h.id) != null);
+    byId.values().removeIf(h -> h.availability == Availability.GONE && h.inFlight == 0);
+    all = byId.values().toArray(Host[]::new);
     ring.sort(Comparator.comparingLong((Host h) -> h.hash).thenComparing(h -> h.id));
   }
 
--- a/src/main/java/ternscale/policy/LcStarBalancer.java
+++ b/src/main/java/ternscale/policy/LcStarBalancer.java
@@ -271,7 +271,6 @@
       actions.fail(p.info.id());
     }
     cancelOut(p);
-    forget(p);
   }
 
   private void close(Pending p) {
--- a/src/main/java/ternscale/policy/Pending.java
+++ b/src/main/java/ternscale/policy/Pending.java
@@ -23,9 +23,7 @@
   boolean held;
 
   /** Rule 2: the earliest attempt that may have run, or none; it binds every later send. */
-  private Host ranOn;
-
-  private double ranSentAt;
+  private Attempt ran;
 
   Pending(RequestInfo info, RequestClass type, double readAt, boolean isLong) {
     this.info = info;
@@ -54,14 +52,11 @@
 
   /** Notes an attempt that ended without proof that it never ran. */
   void mayHaveRun(Attempt a) {
-    if (ranOn == null || a.sentAt < ranSentAt) {
-      ranOn = a.host;
-      ranSentAt = a.sentAt;
-    }
+    ran = ran == null || a.sentAt < ran.sentAt ? a : ran;
   }
 
   boolean anyMayHaveRun() {
-    return ranOn != null || !out.isEmpty();
+    return ran != null || !out.isEmpty();
   }
 
   /** Rule 2, no effect twice: whether one more attempt may go to this host now. */
@@ -72,17 +67,17 @@
     if (type.effect() == Effect.ONCE) {
       return false;
     }
-    return (ranOn == null || sameGroup(ranOn, ranSentAt, h, now, marginMs))
-        && out.stream().allMatch(a -> sameGroup(a.host, a.sentAt, h, now, marginMs));
+    return (ran == null || sameGroup(ran, h, now, marginMs))
+        && out.stream().allMatch(a -> sameGroup(a, h, now, marginMs));
   }
 
-  private boolean sameGroup(Host first, double sentAt, Host h, double now, double marginMs) {
-    if (now - sentAt > type.windowMs() - marginMs) {
+  private boolean sameGroup(Attempt first, Host h, double now, double marginMs) {
+    if (now - first.sentAt > type.windowMs() - marginMs) {
       return false;
     }
     return type.group() == Group.ALL
-        || (type.group() == Group.ZONE && first.zone == h.zone)
-        || (type.group() == Group.CELL && first.cell == h.cell);
+        || (type.group() == Group.ZONE && first.host.zone == h.zone)
+        || (type.group() == Group.CELL && first.host.cell == h.cell);
   }
 
   /** Rule 2: a refusal promises that a new try is harmless. */
--- a/src/main/java/ternscale/policy/Selector.java
+++ b/src/main/java/ternscale/policy/Selector.java
@@ -29,6 +29,9 @@
   /** A key gets one more host each time its traffic grows by this part of a host's share. */
   private static final double KEY_SHARE_PER_HOST = 0.5;
 
+  /** Covers what the last digits of a logarithm may be off. */
+  private static final double BELOW_LOG = 1 - 1e-9;
+
   /** Requests after which the older half of the key counts is dropped. */
   private static final int KEY_WINDOW = 1_000;
 
@@ -53,8 +56,10 @@
   private final HostTable hosts;
   private final Random random;
   private final Settings settings;
-  private Host[] tied = new Host[16];
-  private double[] score = new double[16];
+  private Host[] tied = new Host[0];
+  private double[] score = new double[0];
+  private Host[] subset = new Host[0];
+  private int fewest;
   private double refreshedAt = Double.NEGATIVE_INFINITY;
   private Map<String, Integer> keysNow = new HashMap<>();
   private Map<String, Integer> keysBefore = new HashMap<>();
@@ -84,39 +89,49 @@
     }
   }
 
-  /** The host for a request, or null if none is ready. A long one passes over hosts with one. */
+  /**
+   * The host for a request, or null if none is ready. A long one passes over hosts with one. Where
+   * hosts that win ties are idle the rest need no look, but for cold ones: to be asked counts.
+   */
   Host pick(String key, boolean isLong, double now, Predicate<Host> ready) {
     if (now - refreshedAt >= REFRESH_MS) {
       refresh(now);
     }
-    int fewest = Integer.MAX_VALUE;
-    int n = 0;
+    Host[] all = hosts.all();
+    if (tied.length < all.length) {
+      tied = new Host[all.length];
+      score = new double[all.length];
+    }
     double u = crossing > 0 ? random.nextDouble() : 0;
     int far = u < EXPLORE ? 0 : (int) (crossing + u);
-    List<Host> all = hosts.all();
-    for (int i = 0; i < all.size(); i++) {
-      Host h = all.get(i);
-      int count = h.zone == settings.zone() ? h.inFlight : h.inFlight + far;
-      if (count > fewest || (isLong && h.longs > 0) || !ready.test(h)) {
-        continue;
+    boolean byKey = key != null && settings.hostsRememberKeys();
+    if (2 * subset.length < all.length && now >= hosts.coldStart.coldUntil) {
+      Host h = byKey ? drawByKey(key, all, all.length, 0, ready) : null;
+      int n = byKey ? 0 : scan(subset, far, isLong, ready);
+      if (h != null || (n > 1 && fewest == 0)) {
+        return h != null ? h : draw(n);
       }
-      if (count < fewest) {
-        fewest = count;
-        n = 0;
-      }
-      if (n == tied.length) {
-        tied = Arrays.copyOf(tied, 2 * n);
-        score = Arrays.copyOf(score, 2 * n);
-      }
-      tied[n++] = h;
     }
+    int n = scan(all, far, isLong, ready);
     if (n <= 1) {
       return n == 0 ? null : tied[0];
     }
-    if (key != null && settings.hostsRememberKeys()) {
-      return draw(keepKeyHosts(key, n));
+    return byKey ? drawByKey(key, tied, n, fewest, h -> true) : draw(keepSubset(n));
+  }
+
+  /** Finds those with the fewest in flight, in their order, and tells how many there are. */
+  private int scan(Host[] from, int far, boolean isLong, Predicate<Host> ready) {
+    fewest = Integer.MAX_VALUE;
+    int n = 0;
+    for (Host h : from) {
+      int count = h.zone == settings.zone() ? h.inFlight : h.inFlight + far;
+      if (count <= fewest && !(isLong && h.longs > 0) && ready.test(h)) {
+        n = count < fewest ? 0 : n;
+        fewest = count;
+        tied[n++] = h;
+      }
     }
-    return draw(keepSubset(n));
+    return n;
   }
 
   private void refresh(double now) {
@@ -132,6 +147,7 @@
       double turn = settings.me() * GOLDEN + (double) i / size;
       ring.get((int) ((turn - Math.floor(turn)) * ring.size())).inSubset = true;
     }
+    subset = Arrays.stream(hosts.all()).filter(h -> h.inSubset).toArray(Host[]::new);
   }
 
   private int keepSubset(int n) {
@@ -144,31 +160,33 @@
     return kept > 0 ? kept : n;
   }
 
-  /** Keeps the hosts that a key hashes to: one, or more where the key alone would fill a host. */
-  private int keepKeyHosts(String key, int n) {
+  /** Draws among those with so many in flight that a key hashes to; null for fewer than two. */
+  private Host drawByKey(String key, Host[] from, int size, int inFlight, Predicate<Host> ready) {
     int seen = keysNow.getOrDefault(key, 0) + keysBefore.getOrDefault(key, 0);
     double share = seen / (counted + (keysBefore.isEmpty() ? 1.0 : KEY_WINDOW));
     boolean known = counted >= 50 || !keysBefore.isEmpty();
-    int more = known ? (int) (share * hosts.ring().size() / KEY_SHARE_PER_HOST) : 0;
-    int replicas = Math.min(1 + more, n);
+    int replicas = 1 + (known ? (int) (share * hosts.ring().size() / KEY_SHARE_PER_HOST) : 0);
+    int most = Math.min(Math.max(2, replicas), tied.length);
     long keyHash = mix(key.hashCode());
-    for (int i = 0; i < n; i++) {
-      double u = ((mix(keyHash ^ tied[i].hash) >>> 11) + 0.5) * 0x1.0p-53;
-      score[i] = -Math.log(u) / tied[i].drawWeight;
-    }
-    for (int r = 0; r < replicas; r++) {
-      int best = r;
-      for (int i = r + 1; i < n; i++) {
-        if (score[i] < score[best]) {
-          best = i;
-        }
+    int n = 0;
+    for (int i = 0; i < size; i++) {
+      Host h = from[i];
+      double u = ((mix(keyHash ^ h.hash) >>> 11) + 0.5) * 0x1.0p-53;
+      // As -log u is above 1 - u, most are known not to be among the first without a logarithm.
+      boolean last = n == most && (1 - u) * BELOW_LOG > score[n - 1] * h.drawWeight;
+      double s = last ? Double.POSITIVE_INFINITY : -Math.log(u) / h.drawWeight;
+      if (h.inFlight != inFlight || (n == most && s >= score[n - 1]) || !ready.test(h)) {
+        continue;
+      }
+      int at = n < most ? n++ : n - 1;
+      for (; at > 0 && score[at - 1] > s; at--) {
+        score[at] = score[at - 1];
+        tied[at] = tied[at - 1];
       }
-      Host h = tied[best];
-      tied[best] = tied[r];
-      score[best] = score[r];
-      tied[r] = h;
+      score[at] = s;
+      tied[at] = h;
     }
-    return replicas;
+    return n < 2 ? null : draw(Math.min(replicas, n));
   }
 
   static long mix(long x) {
@@ -184,11 +202,10 @@
       score[i] = sum;
     }
     double at = random.nextDouble() * sum;
-    for (int i = 0; i < n; i++) {
-      if (at < score[i]) {
-        return tied[i];
-      }
+    int i = 0;
+    while (i < n - 1 && at >= score[i]) {
+      i++;
     }
-    return tied[n - 1];
+    return tied[i];
   }
 }
