Watch every buffer of the gateway's tests, and fail when one is lost

Need: bodies, heads and budgets change hands in new places; a buffer that nobody releases shows in no answer. Change: the tests of fronts and backs run with Netty's leak detection at paranoid; what it finds is kept by a detector of the tests' own, and a test that ends requests in all ways (served, broken off by host or client, no HTTP) fails if there is any. Result: none; a buffer left on purpose is found by a test of its own.

--- /dev/null
+++ b/src/test/java/hazelspoke/node/LeakTest.java
@@ -0,0 +1,76 @@
+package hazelspoke.node;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import hazelspoke.net.Buffers;
+import io.netty.util.ResourceLeakDetector;
+import java.io.IOException;
+import java.net.Socket;
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+/** No buffer is lost, however requests end; every buffer of the tests is watched. */
+class LeakTest {
+  private static final int ROUNDS = 30;
+  private static final String BROKEN = "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf";
+
+  @Test
+  void noBufferIsLostHoweverRequestsEnd() throws Exception {
+    List<String> answers = new ArrayList<>();
+    String body = "x".repeat(60_000);
+    try (FakeServer host =
+            new FakeServer(
+                (head, out) -> {
+                  boolean bad = head.contains("bad-");
+                  FakeServer.answer(out, bad ? BROKEN : FakeServer.ok(body));
+                  return !bad;
+                });
+        FakeServer discovery = Rig.discovery(Rig.list(2, host));
+        Rig rig = new Rig(160, discovery, host)) {
+      assertThat(ResourceLeakDetector.getLevel()).isEqualTo(ResourceLeakDetector.Level.PARANOID);
+      for (int i = 0; i < ROUNDS; i++) {
+        answers.add(rig.ask(Rig.dispatch(Rig.id(), "")));
+        answers.add(rig.ask("NONSENSE\r\n\r\n"));
+        leave(rig, Rig.dispatch(Rig.id(), ""));
+        leave(rig, Rig.dispatch(Rig.id(), "Content-Length: 50\r\n") + "half");
+        leave(rig, "POST /dispatch HT");
+      }
+      // Once and last: a host that breaks off is passed over for some time.
+      answers.add(rig.ask(Rig.dispatch("bad-1", "")));
+    }
+    assertThat(answers).anyMatch(answer -> answer != null && answer.endsWith(body));
+    assertThat(answers).anyMatch(answer -> answer != null && answer.startsWith("HTTP/1.1 502"));
+    assertThat(answers).anyMatch(answer -> answer != null && answer.startsWith("HTTP/1.1 400"));
+    findLeaks();
+    assertThat(LeakLedger.LEAKS).isEmpty();
+  }
+
+  /** The detector works: a buffer that nobody releases is found. */
+  @Test
+  void aLostBufferIsFound() throws Exception {
+    ResourceLeakDetector.setLevel(ResourceLeakDetector.Level.PARANOID);
+    Buffers.ALLOCATOR.directBuffer(77);
+    Rig.await(
+        "the leak",
+        () -> {
+          findLeaks();
+          return LeakLedger.LEAKS.removeIf(leak -> leak.contains("aLostBufferIsFound"));
+        });
+    assertThat(LeakLedger.LEAKS).isEmpty();
+  }
+
+  /** What has leaked is told when a buffer is made after its collection. */
+  private static void findLeaks() {
+    for (int i = 0; i < 5; i++) {
+      System.gc();
+      Buffers.ALLOCATOR.directBuffer(1).release();
+    }
+  }
+
+  private static void leave(Rig rig, String begun) throws IOException {
+    try (Socket socket = rig.connect()) {
+      Rig.send(socket, begun);
+    }
+  }
+}
--- a/src/test/java/hazelspoke/node/Rig.java
+++ b/src/test/java/hazelspoke/node/Rig.java
@@ -1,6 +1,7 @@
 package hazelspoke.node;
 
 import hazelspoke.net.Transport;
+import io.netty.util.ResourceLeakDetector;
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.io.OutputStream;
@@ -33,6 +34,7 @@
 
   /** {@code hosts} are what the gateway knows of at its start. */
   Rig(int sockets, FakeServer discovery, FakeServer... hosts) throws Exception {
+    ResourceLeakDetector.setLevel(ResourceLeakDetector.Level.PARANOID);
     file = Files.createTempFile("gateway", ".json");
     environment = Map.of("NODE_CONFIG", file.toString());
     known = list(1, hosts);
@@ -160,6 +162,7 @@
   @Override
   public void close() throws Exception {
     leave();
+    ResourceLeakDetector.setLevel(ResourceLeakDetector.Level.SIMPLE);
     Files.deleteIfExists(file);
   }
 }
