--- a/src/main/java/hazelspoke/core/Metadata.java
+++ b/src/main/java/hazelspoke/core/Metadata.java
@@ -1,6 +1,5 @@
 package hazelspoke.core;
 
-import io.netty.util.AsciiString;
 import java.util.Arrays;
 
 /**
@@ -49,14 +48,4 @@
   public CharSequence value(int i) {
     return pairs[2 * i + 1];
   }
-
-  /** The first value of this name, whatever its case, or null. */
-  public String get(CharSequence name) {
-    for (int i = 0; i < length; i += 2) {
-      if (AsciiString.contentEqualsIgnoreCase(pairs[i], name)) {
-        return pairs[i + 1].toString();
-      }
-    }
-    return null;
-  }
 }
