Add a listener for operators with figures and a drain that sends clients away

Need: staff drain gateways and fetch their figures every second or two.

hazelspoke.operations: a listener with a thread of its own (/_ready, /_vars, /_lameduck/on and off), counters in Dropwizard Metrics behind hazelspoke.core.Meter, which the dispatcher tells of each end once and an attempt of its last byte. A drain is in force before its call is answered: health says no, each answer ends its connection, what rests is let go after 1.5 s. Without an address nothing of it is loaded.

--- a/src/main/java/hazelspoke/back/http/HostConnection.java
+++ b/src/main/java/hazelspoke/back/http/HostConnection.java
@@ -159,6 +159,9 @@
     writer = null;
     if (written.isSuccess()) {
       sent = true;
+      if (call != null) {
+        call.sent();
+      }
     } else {
       broken();
     }
--- a/src/main/java/hazelspoke/core/Dispatcher.java
+++ b/src/main/java/hazelspoke/core/Dispatcher.java
@@ -34,6 +34,7 @@
   private final Names names;
   private final int openCap;
   private final Hosts hosts;
+  private final Meter meter;
   private final LoopLag lag;
   private final Timers timers;
   private final Map<String, Exchange> exchanges = new HashMap<>();
@@ -55,7 +56,8 @@
       int openCap,
       Clock clock,
       Log log,
-      Hosts hosts) {
+      Hosts hosts,
+      Meter meter) {
     this.loop = loop;
     this.clock = clock;
     this.log = log;
@@ -63,6 +65,7 @@
     this.names = names;
     this.openCap = openCap;
     this.hosts = hosts;
+    this.meter = meter;
     lag = new LoopLag(loop, clock);
     timers = new Timers(loop, clock);
   }
@@ -143,6 +146,7 @@
     double now = clock.nowMs();
     RequestInfo info = x.taken(Long.toString(taken++), now, lag.waitedMs());
     owed++;
+    meter.taken();
     if (owed > openCap) {
       answer(x, Answer.refused(0));
       return;
@@ -165,6 +169,7 @@
       return;
     }
     end(x);
+    meter.gone();
     decide(x, () -> balancer.onClientGone(clock.nowMs(), x.id));
   }
 
@@ -187,7 +192,9 @@
   private void answer(Exchange x, Answer answer) {
     if (!x.ended) {
       Client client = x.client();
+      int requestClass = x.request().requestClass();
       end(x);
+      meter.answered(requestClass, answer.outcome());
       client.answer(answer);
     }
   }
@@ -363,14 +370,16 @@
     }
 
     @Override
-    public void answered(
-        Metadata metadata, String loadReport, Body answer, ByteBudget.Share share) {
+    public void sent() {
+      meter.sent();
+    }
+
+    @Override
+    public void answered(Metadata metadata, String loadReport, Body body, ByteBudget.Share share) {
       if (x.ended) {
         share.release();
       } else {
-        Client client = x.client();
-        end(x);
-        client.answer(Answer.served(metadata, answer, share));
+        Dispatcher.this.answer(x, Answer.served(metadata, body, share));
       }
       settle(Result.OK, loadReport);
     }
@@ -435,6 +444,9 @@
       return TIMEOUT_MS;
     }
 
+    @Override
+    public void sent() {}
+
     @Override
     public void answered(
         Metadata metadata, String loadReport, Body answer, ByteBudget.Share share) {
--- a/src/main/java/hazelspoke/core/HostCall.java
+++ b/src/main/java/hazelspoke/core/HostCall.java
@@ -13,6 +13,9 @@
   /** How long an answer is awaited from now on, in milliseconds; asked when it is written. */
   double remainingMs();
 
+  /** Its last byte was handed to the socket: it may run from now on. */
+  void sent();
+
   /**
    * The call ended with a whole answer.
    *
--- a/src/main/java/hazelspoke/front/http/ClientConnection.java
+++ b/src/main/java/hazelspoke/front/http/ClientConnection.java
@@ -275,7 +275,7 @@
 
   /** The head of an answer, with what is said of this connection. */
   private HeadWriter head(HttpResponseStatus status, Body body) {
-    keepAlive &= !server.isLeaving();
+    keepAlive &= !server.isSendingAway();
     HeadWriter head = HeadWriter.answer(channel.alloc(), status);
     if (!keepAlive) {
       head.add(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
--- a/src/main/java/hazelspoke/front/http/ClientServer.java
+++ b/src/main/java/hazelspoke/front/http/ClientServer.java
@@ -48,6 +48,12 @@
   /** A new connection is given this long to say something before another may take its place. */
   private static final double FRESH_MS = 10;
 
+  /**
+   * In a drain by operators who rests may use its connection for so long; with its answer it is
+   * told to go. Of a client that comes back meanwhile no request crosses a close.
+   */
+  private static final double LAME_REST_MS = 1_500;
+
   /** One turn accepts up to this many before the limit is looked at. */
   private static final int ACCEPTED_AT_ONCE = 16;
 
@@ -68,6 +74,9 @@
   private boolean ready;
   private boolean leaving;
 
+  /** When the drain by operators began; infinite when there is none. Any thread may set it. */
+  private volatile double lameSince = Double.POSITIVE_INFINITY;
+
   public ClientServer(
       EventLoop loop,
       Clock clock,
@@ -175,9 +184,10 @@
   }
 
   private void sweep() {
+    boolean go = clock.nowMs() - lameSince >= LAME_REST_MS;
     double restMs = open > mostConnections / 2 ? IDLE_MS : IDLE_WITH_ROOM_MS;
-    expire(State.FRESH, IDLE_MS);
-    expire(State.IDLE, restMs);
+    expire(State.FRESH, go ? LAME_REST_MS : IDLE_MS);
+    expire(State.IDLE, go ? 0 : restMs);
     expire(State.READING, READING_MS);
     expire(State.ANSWERING, WRITING_MS);
   }
@@ -197,13 +207,33 @@
   }
 
   public boolean isReady() {
-    return ready;
+    return ready && !isLame();
+  }
+
+  /** Whether clients are told with each answer to go elsewhere. */
+  public boolean isSendingAway() {
+    return leaving || isLame();
   }
 
   public boolean isLeaving() {
     return leaving;
   }
 
+  private boolean isLame() {
+    return lameSince < Double.POSITIVE_INFINITY;
+  }
+
+  /**
+   * Begins or ends a drain by operators: the gateway says that it is unready, every answer is its
+   * connection's last, and after a while what rests is closed. In force at once; any thread may
+   * call it.
+   */
+  public void lameDuck(boolean on) {
+    if (on != isLame()) {
+      lameSince = on ? clock.nowMs() : Double.POSITIVE_INFINITY;
+    }
+  }
+
   Exchange exchange(HttpRequest request, ClientConnection client) throws BadRequestException {
     Request head = RequestHead.read(request, names, settings);
     return new Exchange(head, client, bodyBudget.share(client::resumeReading));
--- a/src/main/java/hazelspoke/node/ClassArchive.java
+++ b/src/main/java/hazelspoke/node/ClassArchive.java
@@ -23,7 +23,8 @@
 
   private static final String CONFIG =
       """
-      {"name":"archive","listen":"127.0.0.1:0","discovery":"127.0.0.1:1","seed":"1",
+      {"name":"archive","listen":"127.0.0.1:0","management":"127.0.0.1:0",
+       "discovery":"127.0.0.1:1","seed":"1",
        "known":{"index":1,"snapshot":true,"endpoints":[{"name":"self","address":"127.0.0.1:%d",
         "zone":"a","type":"k","group":0,"status":"Ready","weight":1.0,"since_ms":0}]},
        "settings":{"areas":["a"],"kinds":["k"],"discovery":"on_request","quantum":1,
@@ -58,7 +59,10 @@
         Gateway first = start(file, 1, err);
         InetSocketAddress host = (InetSocketAddress) first.start();
         Gateway second = start(file, host.getPort(), err);
+        InetSocketAddress operators = second.openToOperators();
         ask((InetSocketAddress) second.start());
+        call(operators, "GET /_ready HTTP/1.1\r\n\r\n");
+        call(operators, "GET /_vars HTTP/1.1\r\n\r\n");
         second.drain();
         first.drain();
         warmUp(file, err);
@@ -87,12 +91,16 @@
 
   private static void ask(InetSocketAddress gateway) throws IOException {
     for (int i = 0; i < REQUESTS; i++) {
-      try (Socket socket = new Socket(gateway.getAddress(), gateway.getPort())) {
-        OutputStream out = socket.getOutputStream();
-        out.write(REQUEST.formatted(i, i).getBytes(StandardCharsets.US_ASCII));
-        out.flush();
-        socket.getInputStream().read();
-      }
+      call(gateway, REQUEST.formatted(i, i));
+    }
+  }
+
+  private static void call(InetSocketAddress address, String request) throws IOException {
+    try (Socket socket = new Socket(address.getAddress(), address.getPort())) {
+      OutputStream out = socket.getOutputStream();
+      out.write(request.getBytes(StandardCharsets.US_ASCII));
+      out.flush();
+      socket.getInputStream().read();
     }
   }
 }
--- a/src/main/java/hazelspoke/node/Gateway.java
+++ b/src/main/java/hazelspoke/node/Gateway.java
@@ -5,9 +5,13 @@
 import hazelspoke.core.Clock;
 import hazelspoke.core.Dispatcher;
 import hazelspoke.core.Log;
+import hazelspoke.core.Meter;
 import hazelspoke.discovery.DiscoveryClient;
 import hazelspoke.front.http.ClientServer;
 import hazelspoke.net.Transport;
+import hazelspoke.operations.Figures;
+import hazelspoke.operations.ManagementServer;
+import hazelspoke.operations.Operated;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.EventLoop;
 import io.netty.channel.EventLoopGroup;
@@ -49,6 +53,9 @@
 
   private static final long DRAIN_CHECK_MS = 20;
 
+  /** As often as this operators' figures of hosts are brought up to date. */
+  private static final long FIGURES_MS = 100;
+
   private final GatewayConfig config;
   private final EventLoopGroup group =
       new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
@@ -58,9 +65,17 @@
   private final Transport transport;
   private final CountDownLatch drained = new CountDownLatch(1);
   private DiscoveryClient discovery;
-  private ClientServer clients;
+  private volatile ClientServer clients;
   private boolean leaving;
 
+  /** Whether clients are taken; operators ask from a thread of their own. */
+  private volatile boolean serving;
+
+  /** Both null where operators have no address. */
+  private Figures figures;
+
+  private ManagementServer management;
+
   Gateway(GatewayConfig config, PrintStream err, Transport transport) {
     this.config = config;
     this.transport = transport;
@@ -79,6 +94,7 @@
     Gateway gateway = new Gateway(config, err, Transport.TCP);
     Signal.handle(new Signal("HUP"), signal -> gateway.reload(environment));
     try {
+      gateway.openToOperators();
       new WarmUp(config, environment).run(gateway.log, WarmUp.MOST_MS);
       gateway.start();
     } catch (IllegalStateException e) {
@@ -104,6 +120,7 @@
       throw new IllegalStateException(e.getMessage(), e);
     }
     try {
+      gateway.openToOperators();
       gateway.start();
     } catch (IllegalStateException e) {
       gateway.stop();
@@ -112,6 +129,43 @@
     return gateway;
   }
 
+  /**
+   * Lets operators call, before the gateway starts and where they have an address.
+   *
+   * @return where they call, or null
+   * @throws IllegalStateException when their address cannot be listened on
+   */
+  InetSocketAddress openToOperators() {
+    if (config.management() == null) {
+      return null;
+    }
+    figures = new Figures(config.names().classes());
+    management =
+        new ManagementServer(
+            new Operated() {
+              @Override
+              public boolean isReady() {
+                return serving;
+              }
+
+              @Override
+              public boolean lameDuck(boolean on) {
+                boolean can = serving;
+                if (can) {
+                  clients.lameDuck(on);
+                  loop.execute(() -> log.line("drain by operators: " + (on ? "on" : "off")));
+                }
+                return can;
+              }
+
+              @Override
+              public String figures() {
+                return figures.text();
+              }
+            });
+    return management.listen(config.management());
+  }
+
   /** Starts everything and returns the address that clients can connect to. */
   SocketAddress start() {
     ChannelFuture binding = loop.submit(this::wire).syncUninterruptibly().getNow();
@@ -119,11 +173,13 @@
       throw new IllegalStateException(
           "field config.listen cannot be listened on: " + binding.cause().getMessage());
     }
+    serving = true;
     return binding.channel().localAddress();
   }
 
   private ChannelFuture wire() {
-    int shared = Math.max(4, config.sockets() - OTHER_DESCRIPTORS);
+    int others = OTHER_DESCRIPTORS + (management == null ? 0 : ManagementServer.DESCRIPTORS);
+    int shared = Math.max(4, config.sockets() - others);
     int hostSockets = (int) (HOST_PART * shared);
     int clientSockets = shared - hostSockets;
     HostClient hosts =
@@ -136,7 +192,14 @@
             new ByteBudget(ANSWER_BYTES));
     Dispatcher dispatcher =
         new Dispatcher(
-            loop, config.settings(), config.names(), config.openCap(), clock, log, hosts);
+            loop,
+            config.settings(),
+            config.names(),
+            config.openCap(),
+            clock,
+            log,
+            hosts,
+            figures == null ? Meter.NONE : figures);
     discovery =
         new DiscoveryClient(
             loop,
@@ -157,6 +220,17 @@
     dispatcher.start(balancer, discovery);
     dispatcher.onMembers(MembersUpdate.Kind.CACHED, config.known());
     discovery.start();
+    if (figures != null) {
+      loop.scheduleAtFixedRate(
+          () -> {
+            int known = hosts.size();
+            int usable = balancer.usableHosts(clock.nowMs());
+            figures.hosts(known, Math.max(0, known - usable));
+          },
+          0,
+          FIGURES_MS,
+          TimeUnit.MILLISECONDS);
+    }
     clients =
         new ClientServer(
             loop,
@@ -197,6 +271,7 @@
     loop.execute(
         () -> {
           log.line("taking leave");
+          serving = false;
           clients.drain();
           loop.schedule(this::stopListening, ACCEPT_ON_MS, TimeUnit.MILLISECONDS);
         });
@@ -212,6 +287,9 @@
 
   /** Ends at once, with whatever is under way. */
   public void stop() {
+    if (management != null) {
+      management.close();
+    }
     group.shutdownGracefully(0, 0, TimeUnit.MILLISECONDS).awaitUninterruptibly();
   }
 
--- a/src/main/java/hazelspoke/node/GatewayConfig.java
+++ b/src/main/java/hazelspoke/node/GatewayConfig.java
@@ -20,9 +20,14 @@
 import ternscale.adapter.WireException;
 import ternscale.api.Settings;
 
-/** What a gateway is told at its start: the file that NODE_CONFIG names, and the variables. */
+/**
+ * What a gateway is told at its start: the file that NODE_CONFIG names, and the variables.
+ *
+ * @param management where operators call; null where they have no address
+ */
 record GatewayConfig(
     InetSocketAddress listen,
+    InetSocketAddress management,
     InetSocketAddress discovery,
     long seed,
     int sockets,
@@ -68,6 +73,7 @@
       }
       return new GatewayConfig(
           address(config, "listen", environment.get("NODE_LISTEN")),
+          management(config, environment.get("NODE_MANAGEMENT")),
           // The file first: a new configuration replaces it, and leaves the variables behind.
           address(
               config, "discovery", config.get("discovery").text(environment.get("NODE_DISCOVERY"))),
@@ -122,6 +128,12 @@
     return address;
   }
 
+  private static InetSocketAddress management(JsonTree config, String variable)
+      throws ConfigException {
+    boolean set = variable != null || config.get("management").text(null) != null;
+    return set ? address(config, "management", variable) : null;
+  }
+
   private static long seed(JsonTree seed) throws ConfigException {
     String text = seed.text(null);
     if (text == null) {
--- /dev/null
+++ b/src/main/java/hazelspoke/operations/Figures.java
@@ -0,0 +1,105 @@
+package hazelspoke.operations;
+
+import com.codahale.metrics.Counter;
+import com.codahale.metrics.Gauge;
+import com.codahale.metrics.MetricRegistry;
+import hazelspoke.core.Answer;
+import hazelspoke.core.Meter;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+
+/**
+ * The figures of one process since its start. Counted on the loop; {@link #text} may be asked by
+ * any thread.
+ */
+public final class Figures implements Meter {
+  private static final String PREFIX = "svc.";
+
+  /** The counts of one class, whose place may change when others come and go. */
+  private record OfClass(Counter passed, Counter dropped, Counter badGateway) {
+    void count(Answer.Outcome outcome) {
+      switch (outcome) {
+        case SERVED -> passed.inc();
+        case REFUSED -> dropped.inc();
+        case FAILED -> badGateway.inc();
+      }
+    }
+  }
+
+  private final MetricRegistry registry = new MetricRegistry();
+  private final Counter inProgress = registry.counter("in_progress");
+  private final Counter tries = registry.counter("upstream_tries");
+  private final Counter loads = registry.counter("loads");
+  private final Counter loadErrors = registry.counter("load_errors");
+  private final List<OfClass> classes = new ArrayList<>();
+  private volatile int knownHosts;
+  private volatile int skippedHosts;
+
+  /** All at 0, for classes of these names, each at its place. */
+  public Figures(List<String> classNames) {
+    registry.register("known_hosts", (Gauge<Integer>) () -> knownHosts);
+    registry.register("skipped_hosts", (Gauge<Integer>) () -> skippedHosts);
+    nameClasses(classNames);
+  }
+
+  /** The classes are these from now on; one that was there before goes on from its counts. */
+  public void nameClasses(List<String> names) {
+    classes.clear();
+    for (String name : names) {
+      classes.add(
+          new OfClass(
+              registry.counter("passed." + name),
+              registry.counter("dropped." + name),
+              registry.counter("bad_gateway." + name)));
+    }
+  }
+
+  @Override
+  public void taken() {
+    inProgress.inc();
+  }
+
+  @Override
+  public void answered(int requestClass, Answer.Outcome outcome) {
+    inProgress.dec();
+    classes.get(requestClass).count(outcome);
+  }
+
+  @Override
+  public void gone() {
+    inProgress.dec();
+  }
+
+  @Override
+  public void sent() {
+    tries.inc();
+  }
+
+  /** Counts a file of new settings, taken or turned down. */
+  public void loaded(boolean good) {
+    (good ? loads : loadErrors).inc();
+  }
+
+  /** Notes how many hosts are listed, and how many of these the gateway avoids now. */
+  public void hosts(int known, int skipped) {
+    knownHosts = known;
+    skippedHosts = skipped;
+  }
+
+  /** A line for each figure, such as {@code svc.passed.reserve=812}, by name. */
+  public String text() {
+    StringBuilder text = new StringBuilder();
+    for (Map.Entry<String, Counter> counter : registry.getCounters().entrySet()) {
+      line(text, counter.getKey(), counter.getValue().getCount());
+    }
+    for (Map.Entry<String, Gauge> gauge : registry.getGauges().entrySet()) {
+      line(text, gauge.getKey(), gauge.getValue().getValue());
+    }
+    return text.toString();
+  }
+
+  private static void line(StringBuilder text, String name, Object value) {
+    text.append(PREFIX).append(name).append('=').append(value).append('\n');
+  }
+}
--- a/src/main/java/ternscale/api/Balancer.java
+++ b/src/main/java/ternscale/api/Balancer.java
@@ -35,6 +35,9 @@
   /** A peer sent a message. */
   void onPeerMessage(double now, int sender, String data);
 
+  /** How many hosts it would send a request to, going by what it knows of them; no event. */
+  int usableHosts(double now);
+
   /** Ends this balancer; all it held is void. */
   void close();
 }
--- a/src/main/java/ternscale/policy/LcStarBalancer.java
+++ b/src/main/java/ternscale/policy/LcStarBalancer.java
@@ -183,6 +183,11 @@
     checkOpen();
   }
 
+  @Override
+  public int usableHosts(double now) {
+    return (int) hosts.ring().stream().filter(h -> h.ejectedUntil <= now).count();
+  }
+
   @Override
   public void close() {
     closed = true;
@@ -190,11 +195,9 @@
 
   /** Sends the request where LC* says, or holds it, or ends it when nothing more may be tried. */
   private void place(Pending p, double now) {
-    boolean mayRetry =
-        p.attempts < settings.limits().maxAttempts()
-            && !(p.type.effect() == Effect.ONCE && p.anyMayHaveRun())
-            && now < giveUpAt(p);
-    if (!mayRetry) {
+    if (p.attempts >= settings.limits().maxAttempts()
+        || (p.type.effect() == Effect.ONCE && p.anyMayHaveRun())
+        || now >= giveUpAt(p)) {
       end(p, now);
       return;
     }
--- a/src/test/java/hazelspoke/ArchitectureTest.java
+++ b/src/test/java/hazelspoke/ArchitectureTest.java
@@ -26,6 +26,7 @@
     "hazelspoke.back..",
     "hazelspoke.discovery..",
     "hazelspoke.node..",
+    "hazelspoke.operations..",
     "ternscale.."
   };
 
--- a/src/test/java/hazelspoke/core/CoreRig.java
+++ b/src/test/java/hazelspoke/core/CoreRig.java
@@ -108,7 +108,8 @@
             openCap,
             clock,
             new Log(new PrintStream(log, true), clock),
-            this);
+            this,
+            Meter.NONE);
     dispatcher.start(module.apply(dispatcher), this);
   }
 
--- a/src/test/java/hazelspoke/core/CoreTest.java
+++ b/src/test/java/hazelspoke/core/CoreTest.java
@@ -92,6 +92,11 @@
     @Override
     public void onPeerMessage(double now, int sender, String data) {}
 
+    @Override
+    public int usableHosts(double now) {
+      return 0;
+    }
+
     @Override
     public void close() {}
   }
@@ -136,6 +141,11 @@
     @Override
     public void onPeerMessage(double now, int sender, String data) {}
 
+    @Override
+    public int usableHosts(double now) {
+      return 0;
+    }
+
     @Override
     public void close() {}
   }
--- /dev/null
+++ b/src/test/java/hazelspoke/node/OperationsTest.java
@@ -0,0 +1,171 @@
+package hazelspoke.node;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.io.PrintStream;
+import java.net.Socket;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Test;
+
+/** What operators see and do: the figures, the drain, and both while others misbehave. */
+class OperationsTest {
+  private static final String HEALTH = "GET /healthz HTTP/1.1\r\nHost: x\r\n\r\n";
+  private static final String OK = FakeServer.ok("done");
+  private static final String ERROR = "HTTP/1.1 500 no\r\nContent-Length: 0\r\n\r\n";
+
+  @Test
+  void everyEndOfARequestIsCountedOnceAndEveryAttemptThatWentOut() throws Exception {
+    CountDownLatch goOn = new CountDownLatch(1);
+    FakeServer.Reply reply =
+        (head, out) -> {
+          if (head.contains("/dispatch/wait")) {
+            goOn.await();
+          }
+          return FakeServer.answer(out, head.contains("/dispatch/err") ? ERROR : OK);
+        };
+    try (FakeServer host = new FakeServer(reply);
+        FakeServer discovery = Rig.discovery(Rig.list(1, host));
+        Rig rig = new Rig(160, discovery, host)) {
+      assertThat(rig.operate("GET /_ready")).startsWith("200");
+      assertThat(rig.operate("GET /_vars")).contains("svc.passed.look=0\n", "svc.loads=0\n");
+      for (int i = 0; i < 3; i++) {
+        assertThat(rig.ask(Rig.dispatch(Rig.id(), ""))).contains("200");
+      }
+      String err = Rig.dispatch(Rig.id(), "").replace("/dispatch ", "/dispatch/err ");
+      assertThat(rig.ask(err)).contains(" 502 ");
+      try (Socket waiting = rig.connect();
+          Socket leaving = rig.connect()) {
+        Rig.send(waiting, waits());
+        Rig.send(leaving, waits());
+        Rig.await("both at the host", () -> host.heads.size() == 6);
+        assertThat(rig.figure("in_progress")).isEqualTo(2);
+        leaving.close();
+        Rig.await("one gone", () -> rig.figure("in_progress") == 1);
+        goOn.countDown();
+        assertThat(Rig.receive(waiting)).contains("200");
+      }
+      assertThat(rig.figure("in_progress")).isZero();
+      assertThat(rig.figure("passed.dispatch")).isEqualTo(4);
+      assertThat(rig.figure("bad_gateway.dispatch")).isEqualTo(1);
+      assertThat(rig.figure("dropped.dispatch")).isZero();
+      assertThat(rig.figure("upstream_tries")).isEqualTo(6);
+      Rig.await("the host is counted", () -> rig.figure("known_hosts") == 1);
+      assertThat(rig.figure("skipped_hosts")).isZero();
+    }
+  }
+
+  private static String waits() {
+    return Rig.dispatch(Rig.id(), "").replace("/dispatch ", "/dispatch/wait ");
+  }
+
+  @Test
+  void hostsThatAreAvoidedAndRefusalsAreCounted() throws Exception {
+    try (FakeServer host = new FakeServer((head, out) -> false);
+        FakeServer discovery = Rig.discovery(Rig.list(1, host));
+        Rig rig = new Rig(160, discovery, host)) {
+      host.close();
+      String none = rig.ask(Rig.dispatch(Rig.id(), "").replace("20.0", "0.2"));
+      assertThat(none).contains(" 503 ");
+      assertThat(rig.figure("dropped.dispatch")).isEqualTo(1);
+      assertThat(rig.figure("upstream_tries")).isZero();
+      // Of one host none may be ejected; it counts as avoided once it drains.
+      assertThat(rig.figure("known_hosts")).isEqualTo(1);
+    }
+  }
+
+  @Test
+  void aDrainSaysNoSendsClientsAwayAndEndsWithoutALoss() throws Exception {
+    try (FakeServer host = new FakeServer((head, out) -> FakeServer.answer(out, OK));
+        FakeServer discovery = Rig.discovery(Rig.list(1, host));
+        Rig rig = new Rig(160, discovery, host);
+        Socket busy = rig.connect();
+        Socket resting = rig.connect()) {
+      for (Socket client : List.of(busy, resting)) {
+        Rig.send(client, Rig.dispatch(Rig.id(), ""));
+        assertThat(Rig.receive(client)).contains("200").doesNotContain("close");
+      }
+      assertThat(rig.ask(HEALTH)).contains(" 200 ");
+      assertThat(rig.operate("POST /_lameduck/on")).startsWith("200");
+      assertThat(rig.ask(HEALTH)).contains(" 503 ");
+      Rig.send(busy, Rig.dispatch(Rig.id(), ""));
+      assertThat(Rig.receive(busy)).contains("200").containsIgnoringCase("connection: close");
+      assertThat(busy.getInputStream().read()).isEqualTo(-1);
+      // Who rests is let go without having asked; who still comes is served.
+      assertThat(resting.getInputStream().read()).isEqualTo(-1);
+      assertThat(rig.ask(Rig.dispatch(Rig.id(), ""))).contains("200");
+      assertThat(rig.operate("POST /_lameduck/off")).startsWith("200");
+      assertThat(rig.ask(HEALTH)).contains(" 200 ");
+      try (Socket again = rig.connect()) {
+        Rig.send(again, Rig.dispatch(Rig.id(), ""));
+        assertThat(Rig.receive(again)).contains("200").doesNotContain("close");
+      }
+      assertThat(rig.figure("passed.dispatch")).isEqualTo(5);
+    }
+  }
+
+  @Test
+  void operatorsAreAnsweredWhileTheLoopIsBusyAndOthersSayNothing() throws Exception {
+    CountDownLatch goOn = new CountDownLatch(1);
+    List<Socket> silent = new ArrayList<>();
+    try (FakeServer discovery = Rig.discovery(Rig.list(1));
+        Rig rig = new Rig(160, discovery)) {
+      rig.gateway.loop.execute(() -> await(goOn));
+      for (int i = 0; i < 200; i++) {
+        silent.add(new Socket(rig.operators.getAddress(), rig.operators.getPort()));
+      }
+      assertThat(rig.operate("GET /_ready")).startsWith("200");
+      assertThat(rig.operate("GET /_vars")).contains("svc.in_progress=0");
+      assertThat(rig.operate("GET /_nothing")).startsWith("404");
+      assertThat(rig.operate("GET /_lameduck/on")).startsWith("405");
+      try (Socket socket = new Socket(rig.operators.getAddress(), rig.operators.getPort())) {
+        socket.setSoTimeout(Rig.PATIENCE_MS);
+        Rig.send(socket, "\0\1\2 what\r\n\r\n");
+        assertThat(Rig.receive(socket)).contains(" 400 ");
+      }
+      goOn.countDown();
+    } finally {
+      goOn.countDown();
+      for (Socket socket : silent) {
+        socket.close();
+      }
+    }
+  }
+
+  private static void await(CountDownLatch latch) {
+    try {
+      latch.await(Rig.PATIENCE_MS, TimeUnit.MILLISECONDS);
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+
+  @Test
+  void nobodyIsToldReadyBeforeClientsAreTakenNorAfterTheLeave() throws Exception {
+    try (FakeServer discovery = Rig.discovery(Rig.list(1));
+        Rig rig = new Rig(160, discovery)) {
+      Gateway early =
+          new Gateway(
+              GatewayConfig.read(
+                  Map.of("NODE_CONFIG", rig.file.toString(), "NODE_MANAGEMENT", "127.0.0.1:0")),
+              new PrintStream(rig.log),
+              hazelspoke.net.Transport.TCP);
+      try {
+        var at = early.openToOperators();
+        try (Socket socket = new Socket(at.getAddress(), at.getPort())) {
+          Rig.send(socket, "GET /_ready HTTP/1.1\r\n\r\n");
+          assertThat(Rig.receive(socket)).contains(" 503 ");
+        }
+        try (Socket socket = new Socket(at.getAddress(), at.getPort())) {
+          Rig.send(socket, "POST /_lameduck/on HTTP/1.1\r\n\r\n");
+          assertThat(Rig.receive(socket)).contains(" 503 ");
+        }
+      } finally {
+        early.stop();
+      }
+    }
+  }
+}
--- a/src/test/java/hazelspoke/node/Rig.java
+++ b/src/test/java/hazelspoke/node/Rig.java
@@ -29,6 +29,7 @@
   final Map<String, String> environment;
   final Gateway gateway;
   final InetSocketAddress address;
+  final InetSocketAddress operators;
   private final String known;
   private boolean left;
 
@@ -36,11 +37,12 @@
   Rig(int sockets, FakeServer discovery, FakeServer... hosts) throws Exception {
     ResourceLeakDetector.setLevel(ResourceLeakDetector.Level.PARANOID);
     file = Files.createTempFile("gateway", ".json");
-    environment = Map.of("NODE_CONFIG", file.toString());
+    environment = Map.of("NODE_CONFIG", file.toString(), "NODE_MANAGEMENT", "127.0.0.1:0");
     known = list(1, hosts);
     configure(config(sockets, discovery.address()));
     gateway =
         new Gateway(GatewayConfig.read(environment), new PrintStream(log, true), Transport.TCP);
+    operators = gateway.openToOperators();
     address = (InetSocketAddress) gateway.start();
   }
 
@@ -141,6 +143,31 @@
     }
   }
 
+  /** One call of an operator's: the answer's status and body. */
+  String operate(String call) throws IOException {
+    try (Socket socket = new Socket(operators.getAddress(), operators.getPort())) {
+      socket.setSoTimeout(PATIENCE_MS);
+      send(socket, call + " HTTP/1.1\r\nHost: x\r\nContent-Length: 0\r\n\r\n");
+      String answer = receive(socket);
+      return answer.substring(9, 12) + " " + answer.substring(answer.indexOf("\r\n\r\n") + 4);
+    }
+  }
+
+  /** A figure of {@code /_vars}; -1 when it is not there. */
+  long figure(String name) {
+    try {
+      return operate("GET /_vars")
+          .lines()
+          .map(line -> line.substring(line.lastIndexOf(' ') + 1))
+          .filter(line -> line.startsWith("svc." + name + "="))
+          .mapToLong(line -> Long.parseLong(line.substring(line.indexOf('=') + 1)))
+          .findFirst()
+          .orElse(-1);
+    } catch (IOException e) {
+      throw new java.io.UncheckedIOException(e);
+    }
+  }
+
   static void await(String what, BooleanSupplier condition) throws InterruptedException {
     long end = System.nanoTime() + PATIENCE_MS * 1_000_000L;
     while (!condition.getAsBoolean()) {
