Take over classes and limits on attempts at SIGHUP, and turn bad files down whole

core.ClassBook keeps each class at its place; one that is dropped or changes its form can be asked for as before for 2 s, until clients have heard. Balancer.onSettings lets the module go on under other settings. A file must hold all that the first one held, and is checked before anything is changed; loads and load_errors count.

--- a/src/main/java/hazelspoke/core/Dispatcher.java
+++ b/src/main/java/hazelspoke/core/Dispatcher.java
@@ -30,7 +30,7 @@
   private final EventLoop loop;
   private final Clock clock;
   private final Log log;
-  private final Settings settings;
+  private Settings settings;
   private final Names names;
   private final int openCap;
   private final Hosts hosts;
@@ -132,6 +132,12 @@
     decide(null, () -> balancer.onMembers(clock.nowMs(), news));
   }
 
+  /** Other settings are in force; see {@link Balancer#onSettings}. */
+  public void onSettings(Settings next) {
+    settings = next;
+    decide(null, () -> balancer.onSettings(clock.nowMs(), next));
+  }
+
   public void onDiscoveryFailed() {
     onMembers(MembersUpdate.Kind.FAILED, new HostList.Update(false, 0, List.of()));
   }
--- a/src/main/java/hazelspoke/front/http/ClientServer.java
+++ b/src/main/java/hazelspoke/front/http/ClientServer.java
@@ -1,6 +1,7 @@
 package hazelspoke.front.http;
 
 import hazelspoke.core.ByteBudget;
+import hazelspoke.core.ClassBook;
 import hazelspoke.core.Clock;
 import hazelspoke.core.Exchange;
 import hazelspoke.core.Intake;
@@ -25,7 +26,6 @@
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.stream.Stream;
-import ternscale.api.Settings;
 
 /** Takes clients' connections in and keeps their number within the sockets there are. */
 public final class ClientServer {
@@ -60,7 +60,7 @@
   private final EventLoop loop;
   private final Clock clock;
   private final Names names;
-  private final Settings settings;
+  private ClassBook classes;
   private final Intake intake;
   private final ByteBudget bodyBudget;
   private final int mostConnections;
@@ -81,14 +81,14 @@
       EventLoop loop,
       Clock clock,
       Names names,
-      Settings settings,
+      ClassBook classes,
       Intake intake,
       ByteBudget bodyBudget,
       int mostConnections) {
     this.loop = loop;
     this.clock = clock;
     this.names = names;
-    this.settings = settings;
+    this.classes = classes;
     this.intake = intake;
     this.bodyBudget = bodyBudget;
     this.mostConnections = Math.max(1, mostConnections - ACCEPTED_AT_ONCE);
@@ -202,6 +202,11 @@
     }
   }
 
+  /** What may be asked for from now on. */
+  public void retune(ClassBook next) {
+    classes = next;
+  }
+
   public double nowMs() {
     return clock.nowMs();
   }
@@ -235,7 +240,7 @@
   }
 
   Exchange exchange(HttpRequest request, ClientConnection client) throws BadRequestException {
-    Request head = RequestHead.read(request, names, settings);
+    Request head = RequestHead.read(request, names, classes, clock.nowMs());
     return new Exchange(head, client, bodyBudget.share(client::resumeReading));
   }
 
--- a/src/main/java/hazelspoke/front/http/RequestHead.java
+++ b/src/main/java/hazelspoke/front/http/RequestHead.java
@@ -1,6 +1,7 @@
 package hazelspoke.front.http;
 
 import hazelspoke.core.Body;
+import hazelspoke.core.ClassBook;
 import hazelspoke.core.Metadata;
 import hazelspoke.core.Names;
 import hazelspoke.core.Request;
@@ -51,8 +52,8 @@
     listed = Headers.listedInConnection(request.headers());
   }
 
-  /** Reads a head; {@code settings} tell which classes there are and how they may be repeated. */
-  static Request read(HttpRequest request, Names names, Settings settings)
+  /** Reads a head; {@code classes} tell what may be asked for now and in which form. */
+  static Request read(HttpRequest request, Names names, ClassBook classes, double now)
       throws BadRequestException {
     if (!request.protocolVersion().equals(HttpVersion.HTTP_1_1)
         && !request.protocolVersion().equals(HttpVersion.HTTP_1_0)) {
@@ -65,7 +66,7 @@
       Map.Entry<CharSequence, CharSequence> header = headers.next();
       head.take(header.getKey(), header.getValue());
     }
-    return head.toRequest(names, settings);
+    return head.toRequest(names, classes, now);
   }
 
   /** Takes a header in. Those that mean one thing each would, doubled, be read in two ways. */
@@ -125,12 +126,12 @@
     return value.toString();
   }
 
-  private Request toRequest(Names names, Settings settings) throws BadRequestException {
-    int requestClass = className == null ? -1 : names.classes().indexOf(className);
+  private Request toRequest(Names names, ClassBook classes, double now) throws BadRequestException {
+    int requestClass = className == null ? -1 : classes.find(className, form(), now);
     if (requestClass < 0) {
       throw bad(HttpResponseStatus.NOT_FOUND, Headers.CLASS + " names no class");
     }
-    Settings.RequestClass type = settings.classes().get(requestClass);
+    Settings.RequestClass type = classes.type(requestClass);
     checkPath(request.uri(), className);
     checkMethod(type.effect());
     if (txn == null || !isVisible(txn, 0, LONGEST_ID)) {
@@ -152,6 +153,14 @@
         new Body());
   }
 
+  /** What the method and the key say that a second run would do. */
+  private Effect form() {
+    if (request.method().equals(HttpMethod.GET)) {
+      return Effect.REPEATABLE;
+    }
+    return idempotencyKey != null ? Effect.BY_KEY : Effect.ONCE;
+  }
+
   private static void checkPath(String uri, String className) throws BadRequestException {
     int end = 1 + className.length();
     boolean named =
--- a/src/main/java/hazelspoke/node/Gateway.java
+++ b/src/main/java/hazelspoke/node/Gateway.java
@@ -2,6 +2,7 @@
 
 import hazelspoke.back.http.HostClient;
 import hazelspoke.core.ByteBudget;
+import hazelspoke.core.ClassBook;
 import hazelspoke.core.Clock;
 import hazelspoke.core.Dispatcher;
 import hazelspoke.core.Log;
@@ -56,7 +57,7 @@
   /** As often as this operators' figures of hosts are brought up to date. */
   private static final long FIGURES_MS = 100;
 
-  private final GatewayConfig config;
+  private GatewayConfig config;
   private final EventLoopGroup group =
       new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
   final EventLoop loop = group.next();
@@ -65,6 +66,11 @@
   private final Transport transport;
   private final CountDownLatch drained = new CountDownLatch(1);
   private DiscoveryClient discovery;
+  private Dispatcher dispatcher;
+
+  /** What may be asked for, under all settings that were taken so far. */
+  private volatile ClassBook classes;
+
   private volatile ClientServer clients;
   private boolean leaving;
 
@@ -78,6 +84,7 @@
 
   Gateway(GatewayConfig config, PrintStream err, Transport transport) {
     this.config = config;
+    classes = config.classes();
     this.transport = transport;
     log = new Log(err, clock);
   }
@@ -190,7 +197,7 @@
             config.settings().limits(),
             hostSockets,
             new ByteBudget(ANSWER_BYTES));
-    Dispatcher dispatcher =
+    dispatcher =
         new Dispatcher(
             loop,
             config.settings(),
@@ -236,7 +243,7 @@
             loop,
             clock,
             config.names(),
-            config.settings(),
+            classes,
             dispatcher,
             new ByteBudget(BODY_BYTES),
             clientSockets);
@@ -244,30 +251,58 @@
   }
 
   /**
-   * Takes over where discovery is now from the configuration as it stands; nothing else of it is
-   * read again. A file that cannot be used changes nothing. On the loop, so that signals that come
-   * close to one another are handled in turn; the file is small and lies in memory.
+   * Takes over the configuration as it stands now: where discovery is, the classes and the limits
+   * on attempts; what else has changed waits for a restart. A file that cannot be used changes
+   * nothing. On the loop, so that signals that come close to one another are handled in turn; the
+   * file is small and lies in memory.
    */
   public void reload(Map<String, String> environment) {
     loop.execute(
         () -> {
+          boolean good = false;
           try {
-            InetSocketAddress now = GatewayConfig.read(environment).discovery();
-            if (discovery != null && !leaving) {
-              discovery.moveTo(now);
-            }
-          } catch (ConfigException e) {
+            GatewayConfig next = config.readAgain(environment);
+            ClassBook book =
+                classes.retuned(next.names().classes(), next.settings().classes(), clock.nowMs());
+            good = true;
+            retune(next, book);
+          } catch (ConfigException | IllegalArgumentException e) {
             log.line("kept the old configuration: " + e.getMessage());
           }
+          if (figures != null) {
+            figures.loaded(good);
+          }
         });
   }
 
+  private void retune(GatewayConfig next, ClassBook book) {
+    if (discovery == null) {
+      // Not started yet: it will be with this.
+      config = next;
+      book = next.classes();
+    } else {
+      Settings before = config.settings();
+      if (!next.settings().retuned(before.classes(), before.limits()).equals(before)) {
+        log.line("other settings than classes and limits have changed: they wait for a restart");
+      }
+      dispatcher.onSettings(before.retuned(book.types(), next.settings().limits()));
+      clients.retune(book);
+      if (!leaving) {
+        discovery.moveTo(next.discovery());
+      }
+    }
+    classes = book;
+    if (figures != null) {
+      figures.nameClasses(book.names());
+    }
+  }
+
   /**
    * Takes leave: what has been taken and what still comes for a moment is served, and nothing new
    * after that. Returns when nothing is owed any more, or when it has to be over.
    */
   public void drain() {
-    long mostMs = (long) config.longestDeadlineMs() + DRAIN_MARGIN_MS;
+    long mostMs = (long) classes.longestDeadlineMs(clock.nowMs()) + DRAIN_MARGIN_MS;
     loop.execute(
         () -> {
           log.line("taking leave");
--- a/src/main/java/hazelspoke/node/GatewayConfig.java
+++ b/src/main/java/hazelspoke/node/GatewayConfig.java
@@ -3,6 +3,7 @@
 import com.fasterxml.jackson.core.JsonFactory;
 import com.fasterxml.jackson.core.JsonParser;
 import com.fasterxml.jackson.core.JsonProcessingException;
+import hazelspoke.core.ClassBook;
 import hazelspoke.core.HostList;
 import hazelspoke.core.Names;
 import hazelspoke.discovery.HostListJson;
@@ -23,6 +24,8 @@
 /**
  * What a gateway is told at its start: the file that NODE_CONFIG names, and the variables.
  *
+ * @param classes those of the settings, each at its place there
+ * @param file as it was read, without the list of hosts
  * @param management where operators call; null where they have no address
  */
 record GatewayConfig(
@@ -34,15 +37,23 @@
     int openCap,
     HostList.Update known,
     Settings settings,
-    Names names) {
+    Names names,
+    ClassBook classes,
+    JsonTree file) {
   private static final int USUAL_SOCKETS = 1_024;
 
-  /** The longest deadline of any class: nothing is owed for longer than this. */
-  double longestDeadlineMs() {
-    return settings.classes().stream()
-        .mapToDouble(Settings.RequestClass::deadlineMs)
-        .max()
-        .orElse(0);
+  /**
+   * Reads new settings for a gateway that was started with these. Stricter than at the start, where
+   * what is left out takes a default: there has to be all that there was.
+   */
+  GatewayConfig readAgain(Map<String, String> environment) throws ConfigException {
+    GatewayConfig next = read(environment);
+    try {
+      next.file.requireKeysOf(file);
+    } catch (WireException e) {
+      throw new ConfigException(e.getMessage());
+    }
+    return next;
   }
 
   static GatewayConfig read(Map<String, String> environment) throws ConfigException {
@@ -71,6 +82,7 @@
       if (names.classes().isEmpty()) {
         throw new ConfigException("field config.settings.grades is missing");
       }
+      Settings read = SettingsReader.read(settings);
       return new GatewayConfig(
           address(config, "listen", environment.get("NODE_LISTEN")),
           management(config, environment.get("NODE_MANAGEMENT")),
@@ -81,8 +93,10 @@
           config.get("limits").get("sockets").integer(USUAL_SOCKETS),
           settings.get("limits").get("open_cap").integer(Integer.MAX_VALUE),
           HostListJson.read(config.get("known"), names),
-          SettingsReader.read(settings),
-          names);
+          read,
+          names,
+          ClassBook.of(names.classes(), read.classes()),
+          config.without("known"));
     } catch (WireException e) {
       throw new ConfigException(e.getMessage());
     } catch (IllegalArgumentException e) {
--- a/src/main/java/ternscale/adapter/JsonTree.java
+++ b/src/main/java/ternscale/adapter/JsonTree.java
@@ -131,6 +131,53 @@
     return s;
   }
 
+  /** This object without one of its members. */
+  public JsonTree without(String key) {
+    if (!(value instanceof Map<?, ?> map)) {
+      return this;
+    }
+    Map<Object, Object> rest = new LinkedHashMap<>(map);
+    rest.remove(key);
+    return new JsonTree(path, rest);
+  }
+
+  /**
+   * Checks that whatever {@code model} holds is here too, at any depth: the members of each object,
+   * and in each object of an array those that all objects of the model's array have.
+   *
+   * @throws WireException naming the first that is missing or null
+   */
+  public void requireKeysOf(JsonTree model) {
+    if (model.value instanceof Map<?, ?> keys) {
+      for (Object key : keys.keySet()) {
+        JsonTree mine = get((String) key);
+        JsonTree its = model.get((String) key);
+        if (mine.value == null && its.value != null) {
+          throw mine.fail("is missing");
+        }
+        mine.requireKeysOf(its);
+      }
+    } else if (model.value instanceof List<?>) {
+      for (JsonTree item : list()) {
+        item.requireKeysOf(model.common());
+      }
+    }
+  }
+
+  /** Of an array of objects: what all of them have. */
+  private JsonTree common() {
+    Map<?, ?> common = null;
+    for (JsonTree item : list()) {
+      Map<?, ?> map = item.value instanceof Map<?, ?> m ? m : Map.of();
+      if (common == null) {
+        common = new LinkedHashMap<>(map);
+      } else {
+        common.keySet().retainAll(map.keySet());
+      }
+    }
+    return new JsonTree(path, common == null ? Map.of() : common);
+  }
+
   public WireException fail(String what) {
     return new WireException("field " + path + " " + what);
   }
--- a/src/main/java/ternscale/api/Balancer.java
+++ b/src/main/java/ternscale/api/Balancer.java
@@ -8,7 +8,7 @@
  *
  * <p>Events that cross an earlier decision (the client of an ended request leaves, an outcome of a
  * cancelled attempt, a timer with nothing left to do) are expected and harmless. After {@link
- * #close} every event throws {@link IllegalStateException}.
+ * #close} every event that it heeds throws {@link IllegalStateException}.
  */
 public interface Balancer {
   /** Discovery reports hosts, or that it could not. */
@@ -29,11 +29,18 @@
   /** A timer came due. */
   void onTimer(double now, long timer);
 
-  /** A probe was answered or failed. */
-  void onProbeResult(double now, ProbeResult result);
+  /** A probe was answered or failed; of no interest to who never probes. */
+  default void onProbeResult(double now, ProbeResult result) {}
 
-  /** A peer sent a message. */
-  void onPeerMessage(double now, int sender, String data);
+  /** A peer sent a message; of no interest to who never sends any. */
+  default void onPeerMessage(double now, int sender, String data) {}
+
+  /**
+   * Other settings are in force. Of what it was built with only the classes and the limits may have
+   * changed: each class that it knows is still at its place, and more may stand behind. Requests in
+   * hand keep the class that they came with.
+   */
+  void onSettings(double now, Settings settings);
 
   /** How many hosts it would send a request to, going by what it knows of them; no event. */
   int usableHosts(double now);
--- a/src/main/java/ternscale/api/Settings.java
+++ b/src/main/java/ternscale/api/Settings.java
@@ -160,6 +160,30 @@
     Objects.requireNonNull(weightMeaning, "weightMeaning");
   }
 
+  /** These settings with other classes and limits. */
+  public Settings retuned(List<RequestClass> otherClasses, Limits otherLimits) {
+    return new Settings(
+        me,
+        instances,
+        zone,
+        zones,
+        tickMs,
+        otherClasses,
+        tenants,
+        overShareWorth,
+        worthByWork,
+        discovery,
+        hostsRememberKeys,
+        clientsMarkRetries,
+        otherLimits,
+        rules,
+        prices,
+        goal,
+        reportMode,
+        reportFields,
+        weightMeaning);
+  }
+
   private static void require(boolean holds, String what, double value) {
     if (!holds || Double.isNaN(value)) {
       throw new IllegalArgumentException(what + ": " + value);
--- a/src/main/java/ternscale/policy/Admission.java
+++ b/src/main/java/ternscale/policy/Admission.java
@@ -73,23 +73,23 @@
   private static final int OVER_SHARE = 1;
   private static final int TOO_HEAVY = 2;
 
-  private final Settings settings;
+  private Settings settings;
   private final Random random;
   private final double startedAt;
 
   /** Decayed work by class, whether over the tenant's share, and whether too heavy for its aim. */
-  private final double[] work;
+  private double[] work = new double[0];
 
   private int[] byDensity;
 
   /** Worth asked for and served in time by class: the goal may weigh the class served worst. */
-  private final double[] asked;
+  private double[] asked;
 
-  private final double[] served;
+  private double[] served;
   private double orderedAt;
   private final double[] tenantCount;
-  private final double[] usual;
-  private final double[] usualAt;
+  private double[] usual = new double[0];
+  private double[] usualAt = new double[0];
   private double at;
   private double level;
   private double heardAt;
@@ -97,17 +97,23 @@
   private double retryTokens = RETRY_BURST;
 
   Admission(Settings settings, Random random, double now) {
-    this.settings = settings;
     this.random = random;
     startedAt = now;
     at = now;
     heardAt = now;
-    work = new double[BUCKETS * settings.classes().size()];
     tenantCount = new double[settings.tenants().size()];
-    usual = new double[settings.classes().size()];
-    usualAt = new double[settings.classes().size()];
-    asked = new double[settings.classes().size()];
-    served = new double[settings.classes().size()];
+    retune(settings, now);
+  }
+
+  /** Goes on under other settings; which class is served worst shows anew. */
+  void retune(Settings next, double now) {
+    settings = next;
+    int classes = next.classes().size();
+    work = Arrays.copyOf(work, BUCKETS * classes);
+    usual = Arrays.copyOf(usual, classes);
+    usualAt = Arrays.copyOf(usualAt, classes);
+    asked = new double[classes];
+    served = new double[classes];
     order(now);
   }
 
--- a/src/main/java/ternscale/policy/HostTable.java
+++ b/src/main/java/ternscale/policy/HostTable.java
@@ -59,30 +59,30 @@
   private final Map<String, Host> byId = new LinkedHashMap<>();
   private Host[] all = new Host[0];
   final ColdStart coldStart;
-  private final double[] classLatency;
-  private final double[] classWork;
+  private double[] classLatency = new double[0];
+  private double[] classWork = new double[0];
   private double[] kindSlow = new double[1];
   private double[] kindCount = new double[1];
   private final double[] zoneSlow;
   private final int ownZone;
 
   /** The hosts that are up, in the order of their hashes: the same at every gateway. */
-  private final List<Host> ring = new ArrayList<>();
+  final List<Host> ring = new ArrayList<>();
 
   HostTable(Settings settings, ColdStart coldStart) {
     this.coldStart = coldStart;
-    classLatency = new double[settings.classes().size()];
-    classWork = new double[settings.classes().size()];
     zoneSlow = new double[settings.zones()];
     ownZone = settings.zone();
+    retune(settings);
   }
 
-  Host[] all() {
-    return all;
+  void retune(Settings next) {
+    classLatency = Arrays.copyOf(classLatency, next.classes().size());
+    classWork = Arrays.copyOf(classWork, next.classes().size());
   }
 
-  List<Host> ring() {
-    return ring;
+  Host[] all() {
+    return all;
   }
 
   void apply(MembersUpdate update, double now) {
--- a/src/main/java/ternscale/policy/LcStarBalancer.java
+++ b/src/main/java/ternscale/policy/LcStarBalancer.java
@@ -12,7 +12,6 @@
 import ternscale.api.HostEntry.Availability;
 import ternscale.api.MembersUpdate;
 import ternscale.api.Outcome;
-import ternscale.api.ProbeResult;
 import ternscale.api.RequestInfo;
 import ternscale.api.Settings;
 import ternscale.api.Settings.Effect;
@@ -36,7 +35,7 @@
   /** Connections idle for this long are closed: they fill the hosts' tables (incident i59fa1d). */
   private static final double LINGER_MS = 1_000;
 
-  private final Settings settings;
+  private Settings settings;
   private final Actions actions;
   private final ColdStart coldStart;
   private final HostTable hosts;
@@ -68,7 +67,7 @@
   public void onMembers(double now, MembersUpdate update) {
     checkOpen();
     hosts.apply(update, now);
-    coldStart.census(hosts.ring(), now);
+    coldStart.census(hosts.ring, now);
     membership.onUpdate(update);
     retryHeld(now);
   }
@@ -88,7 +87,7 @@
     if (now - sweptAt > LINGER_MS / 4) {
       sweptAt = now;
       closeIdle(now);
-      coldStart.census(hosts.ring(), now);
+      coldStart.census(hosts.ring, now);
     }
     selector.onRequest(request.key(), requests.size());
     if (admission.admits(p, now)) {
@@ -174,18 +173,16 @@
   }
 
   @Override
-  public void onProbeResult(double now, ProbeResult result) {
-    checkOpen();
-  }
-
-  @Override
-  public void onPeerMessage(double now, int sender, String data) {
+  public void onSettings(double now, Settings next) {
     checkOpen();
+    settings = next;
+    hosts.retune(next);
+    admission.retune(next, now);
   }
 
   @Override
   public int usableHosts(double now) {
-    return (int) hosts.ring().stream().filter(h -> h.ejectedUntil <= now).count();
+    return (int) hosts.ring.stream().filter(h -> h.ejectedUntil <= now).count();
   }
 
   @Override
@@ -215,13 +212,16 @@
     } else if (!p.held) {
       p.held = true;
       held.add(p);
-      setHoldTimer();
+      if (!holdTimerSet) {
+        holdTimerSet = true;
+        actions.setTimer(HOLD_TIMER, Math.max(2 * settings.tickMs(), 1));
+      }
     }
   }
 
   /** Incident i59fa1d: no host of use left, as idle connections had filled their tables. */
   private void closeIdle(double now) {
-    for (Host h : hosts.ring()) {
+    for (Host h : hosts.ring) {
       if (h.connectedAt > 0 && h.inFlight == 0 && now - h.connectedAt > LINGER_MS) {
         h.connectedAt = 0;
         actions.closeIdle(h.id);
@@ -318,13 +318,6 @@
     }
   }
 
-  private void setHoldTimer() {
-    if (!holdTimerSet) {
-      holdTimerSet = true;
-      actions.setTimer(HOLD_TIMER, Math.max(2 * settings.tickMs(), 1));
-    }
-  }
-
   private void noteHint(double hint) {
     hints[hintCount++ % CUTOFF_SAMPLE] = hint;
     if (hintCount % 64 == 0) {
--- a/src/main/java/ternscale/policy/Pending.java
+++ b/src/main/java/ternscale/policy/Pending.java
@@ -64,10 +64,8 @@
     if (type.effect() == Effect.REPEATABLE || !anyMayHaveRun()) {
       return true;
     }
-    if (type.effect() == Effect.ONCE) {
-      return false;
-    }
-    return (ran == null || sameGroup(ran, h, now, marginMs))
+    return type.effect() != Effect.ONCE
+        && (ran == null || sameGroup(ran, h, now, marginMs))
         && out.stream().allMatch(a -> sameGroup(a, h, now, marginMs));
   }
 
--- a/src/main/java/ternscale/policy/Selector.java
+++ b/src/main/java/ternscale/policy/Selector.java
@@ -137,7 +137,7 @@
   private void refresh(double now) {
     refreshedAt = now;
     int size = (int) Math.max(SUBSET_LEAST, SUBSET_PER_IN_FLIGHT * meanInFlight);
-    List<Host> ring = hosts.ring();
+    List<Host> ring = hosts.ring;
     crossing = mostCrossing * Math.max(0, 1 - hosts.zoneGap(settings.zone()) / ZONE_GAP);
     for (Host h : ring) {
       h.drawWeight = h.weight * Math.exp(-SLOWNESS_POWER * hosts.slowness(h));
@@ -165,7 +165,7 @@
     int seen = keysNow.getOrDefault(key, 0) + keysBefore.getOrDefault(key, 0);
     double share = seen / (counted + (keysBefore.isEmpty() ? 1.0 : KEY_WINDOW));
     boolean known = counted >= 50 || !keysBefore.isEmpty();
-    int replicas = 1 + (known ? (int) (share * hosts.ring().size() / KEY_SHARE_PER_HOST) : 0);
+    int replicas = 1 + (known ? (int) (share * hosts.ring.size() / KEY_SHARE_PER_HOST) : 0);
     int most = Math.min(Math.max(2, replicas), tied.length);
     long keyHash = mix(key.hashCode());
     int n = 0;
--- a/src/test/java/hazelspoke/core/CoreTest.java
+++ b/src/test/java/hazelspoke/core/CoreTest.java
@@ -18,6 +18,7 @@
 import ternscale.api.Outcome.Result;
 import ternscale.api.ProbeResult;
 import ternscale.api.RequestInfo;
+import ternscale.api.Settings;
 
 /** What the core promises to fronts and backs, whatever they and the module do. */
 class CoreTest {
@@ -92,6 +93,9 @@
     @Override
     public void onPeerMessage(double now, int sender, String data) {}
 
+    @Override
+    public void onSettings(double now, Settings settings) {}
+
     @Override
     public int usableHosts(double now) {
       return 0;
@@ -141,6 +145,9 @@
     @Override
     public void onPeerMessage(double now, int sender, String data) {}
 
+    @Override
+    public void onSettings(double now, Settings settings) {}
+
     @Override
     public int usableHosts(double now) {
       return 0;
--- a/src/test/java/hazelspoke/node/ReloadTest.java
+++ b/src/test/java/hazelspoke/node/ReloadTest.java
@@ -3,9 +3,14 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.io.ByteArrayOutputStream;
+import java.io.IOException;
 import java.io.PrintStream;
+import java.io.UncheckedIOException;
+import java.net.Socket;
 import java.nio.file.Files;
+import java.util.List;
 import java.util.Map;
+import java.util.concurrent.CountDownLatch;
 import org.junit.jupiter.api.Test;
 
 /** New configurations while the gateway runs, and bad ones at its start. */
@@ -36,14 +41,110 @@
     }
   }
 
-  private static String served(Rig rig) {
+  private static final String SOMETHING = "X-Remaining: 20.0\r\n\r\n";
+
+  private static String post(String name, String more) {
+    return "POST /%s HTTP/1.1\r\nHost: x\r\nX-Lane: %s\r\nX-Txn: %s\r\n%s%s"
+        .formatted(name, name, Rig.id(), more, SOMETHING);
+  }
+
+  @Test
+  void classesComeAndGoWhileRequestsOfTheOldOnesAreOpen() throws Exception {
+    CountDownLatch goOn = new CountDownLatch(1);
+    FakeServer.Reply reply =
+        (head, out) -> {
+          if (head.contains("/dispatch/wait")) {
+            goOn.await();
+          }
+          return FakeServer.answer(out, FakeServer.ok("done"));
+        };
+    try (FakeServer host = new FakeServer(reply);
+        FakeServer discovery = Rig.discovery(Rig.list(7, host));
+        Rig rig = new Rig(160, discovery, host);
+        Socket waiting = rig.connect()) {
+      assertThat(rig.ask(post("haul", ""))).contains(" 404 ");
+      Rig.send(waiting, post("dispatch", "").replace("/dispatch ", "/dispatch/wait "));
+      Rig.await("the host has it", () -> !host.heads.isEmpty());
+      String before = rig.config(160, discovery.address());
+      // Dispatch is dropped, haul is new, and look is asked for with a key from now on.
+      rig.configure(
+          before
+              .replace("\"dispatch\"", "\"haul\"")
+              .replace("\"repeatable\"", "\"by_key\"")
+              .replace("\"send_cap\":5", "\"send_cap\":2"));
+      rig.gateway.reload(rig.environment);
+      Rig.await("the file is taken", () -> rig.figure("loads") == 1);
+      assertThat(rig.ask(post("haul", ""))).contains(" 200 ");
+      assertThat(rig.ask(post("look", "Idempotency-Key: k1\r\n"))).contains(" 200 ");
+      // Who has not heard yet is served as before, and then no more.
+      assertThat(rig.ask(post("dispatch", ""))).contains(" 200 ");
+      String look = post("look", "").replace("POST", "GET");
+      assertThat(rig.ask(look)).contains(" 200 ");
+      Rig.await("dispatch is gone", () -> ask(rig, post("dispatch", "")).contains(" 404 "));
+      assertThat(rig.ask(post("look", "").replace("POST", "GET"))).contains(" 405 ");
+      goOn.countDown();
+      assertThat(Rig.receive(waiting)).contains(" 200 ");
+      assertThat(rig.figure("passed.haul")).isEqualTo(1);
+      assertThat(rig.figure("in_progress")).isZero();
+      rig.configure(before);
+      rig.gateway.reload(rig.environment);
+      Rig.await("the first file again", () -> rig.figure("loads") == 2);
+      assertThat(rig.ask(post("dispatch", ""))).contains(" 200 ");
+    }
+  }
+
+  @Test
+  void filesThatAreNotWholeOrMakeNoSenseAreTurnedDownAndChangeNothing() throws Exception {
+    try (FakeServer host =
+            new FakeServer((h, out) -> FakeServer.answer(out, FakeServer.ok("done")));
+        FakeServer discovery = Rig.discovery(Rig.list(7, host));
+        FakeServer elsewhere = Rig.discovery(Rig.list(3));
+        Rig rig = new Rig(160, discovery, host)) {
+      Rig.await("the first watch", () -> discovery.heads.size() == 1);
+      String good = rig.config(160, elsewhere.address()).replace("\"dispatch\"", "\"haul\"");
+      List<String> bad =
+          List.of(
+              "",
+              good.substring(0, good.length() / 2),
+              good.replace("\"send_cap\":5,", ""),
+              good.replace("\"hard_limit\":20000,", ""),
+              good.replace("\"name\":\"haul\",", ""),
+              good.replace("\"rules\"", "\"rulez\""),
+              good.replace("\"send_cap\":5", "\"send_cap\":0"),
+              good.replace("\"send_cap\":5", "\"send_cap\":-1"),
+              good.replace("\"send_cap\":5", "\"send_cap\":\"many\""),
+              good.replace("\"send_cap\":5", "\"send_cap\":null"),
+              good.replace("\"hard_limit\":20000", "\"hard_limit\":0"),
+              good.replace("\"hard_limit\":20000", "\"hard_limit\":1e999"),
+              good.replace("\"hard_limit\":20000", "\"hard_limit\":\"soon\""),
+              good.replace("\"haul\"", "\"look\""));
+      for (String file : bad) {
+        assertThat(file).isNotEqualTo(good);
+        rig.configure(file);
+        rig.gateway.reload(rig.environment);
+        long turnedDown = bad.indexOf(file) + 1;
+        Rig.await("turned down: " + file, () -> rig.figure("load_errors") == turnedDown);
+      }
+      assertThat(rig.figure("loads")).isZero();
+      assertThat(rig.ask(post("haul", ""))).contains(" 404 ");
+      assertThat(rig.ask(post("dispatch", ""))).contains(" 200 ");
+      assertThat(elsewhere.heads).isEmpty();
+      assertThat(rig.log.toString().lines().filter(l -> l.contains("kept the old"))).isNotEmpty();
+    }
+  }
+
+  private static String ask(Rig rig, String request) {
     try {
-      return rig.ask(Rig.dispatch(Rig.id(), ""));
-    } catch (java.io.IOException e) {
-      throw new java.io.UncheckedIOException(e);
+      return rig.ask(request);
+    } catch (IOException e) {
+      throw new UncheckedIOException(e);
     }
   }
 
+  private static String served(Rig rig) {
+    return ask(rig, Rig.dispatch(Rig.id(), ""));
+  }
+
   @Test
   void aBadConfigurationAtTheStartGetsOneLineAndStatusOne() {
     ByteArrayOutputStream err = new ByteArrayOutputStream();
