Let the next process of a gateway serve beside the old one, which closes its door empty

Need: an upgrade starts `run` once more while the gateway serves; the second process could not listen and ended with status 1, and 7 requests were lost.

Where operators have an address, processes share the clients' address (SO_REUSEPORT). Whether there is a successor it knows from a file in $TMPDIR (takeover.Succession); without a living one it leaves as before. A folder left by a process that was killed in its warm-up no longer keeps the next one cold.

Without taking in who waits the new test fails for the first of 40 such clients.

--- a/src/main/java/hazelspoke/front/http/ClientServer.java
+++ b/src/main/java/hazelspoke/front/http/ClientServer.java
@@ -10,6 +10,7 @@
 import hazelspoke.front.http.ClientConnection.State;
 import hazelspoke.http.HttpLimits;
 import hazelspoke.net.Buffers;
+import hazelspoke.net.Listener;
 import hazelspoke.net.Transport;
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.channel.Channel;
@@ -17,8 +18,10 @@
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
+import io.netty.channel.socket.nio.NioChannelOption;
 import io.netty.handler.codec.http.HttpRequest;
 import java.net.InetSocketAddress;
+import java.net.StandardSocketOptions;
 import java.util.EnumMap;
 import java.util.LinkedHashSet;
 import java.util.List;
@@ -73,6 +76,7 @@
   private Channel listener;
   private boolean ready;
   private boolean leaving;
+  private boolean handedOver;
 
   /** When the drain by operators began; infinite when there is none. Any thread may set it. */
   private volatile double lameSince = Double.POSITIVE_INFINITY;
@@ -98,8 +102,13 @@
     loop.scheduleAtFixedRate(this::sweep, SWEEP_MS, SWEEP_MS, TimeUnit.MILLISECONDS);
   }
 
-  public ChannelFuture listen(Transport transport, InetSocketAddress address) {
-    ChannelFuture binding =
+  /**
+   * Begins to listen.
+   *
+   * @param shared whether other processes may listen at the same address meanwhile
+   */
+  public ChannelFuture listen(Transport transport, InetSocketAddress address, boolean shared) {
+    ServerBootstrap bootstrap =
         new ServerBootstrap()
             .group(loop)
             .channel(transport.server())
@@ -113,8 +122,11 @@
                   protected void initChannel(Channel ch) {
                     accept(ch);
                   }
-                })
-            .bind(transport.listening().apply(address));
+                });
+    if (shared) {
+      bootstrap.option(NioChannelOption.of(StandardSocketOptions.SO_REUSEPORT), true);
+    }
+    ChannelFuture binding = bootstrap.bind(transport.listening().apply(address));
     listener = binding.channel();
     ready = true;
     return binding;
@@ -217,7 +229,7 @@
 
   /** Whether clients are told with each answer to go elsewhere. */
   public boolean isSendingAway() {
-    return leaving || isLame();
+    return leaving || handedOver || isLame();
   }
 
   public boolean isLeaving() {
@@ -265,6 +277,19 @@
     ready = false;
   }
 
+  /**
+   * Another process takes what comes to this address from now on. This one goes on saying that it
+   * is ready, as the gateway is, and sends clients over with the answers that they get.
+   */
+  public void handOver() {
+    handedOver = true;
+    if (listener instanceof Listener shared) {
+      shared.closeEmpty();
+    } else {
+      listener.close();
+    }
+  }
+
   /** Nothing new comes any more; what rests may go, and every answer is its connection's last. */
   public void stopListening() {
     leaving = true;
--- a/src/main/java/hazelspoke/net/Transport.java
+++ b/src/main/java/hazelspoke/net/Transport.java
@@ -4,7 +4,6 @@
 import io.netty.channel.ServerChannel;
 import io.netty.channel.socket.nio.NioDomainSocketChannel;
 import io.netty.channel.socket.nio.NioServerDomainSocketChannel;
-import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import java.net.SocketAddress;
 import java.net.UnixDomainSocketAddress;
@@ -23,7 +22,7 @@
     UnaryOperator<SocketAddress> calling) {
   public static final Transport TCP =
       new Transport(
-          NioServerSocketChannel.class,
+          Listener.class,
           NioSocketChannel.class,
           UnaryOperator.identity(),
           UnaryOperator.identity());
--- a/src/main/java/hazelspoke/node/Gateway.java
+++ b/src/main/java/hazelspoke/node/Gateway.java
@@ -13,14 +13,17 @@
 import hazelspoke.operations.Figures;
 import hazelspoke.operations.ManagementServer;
 import hazelspoke.operations.Operated;
+import hazelspoke.takeover.Succession;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.EventLoop;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
+import java.io.IOException;
 import java.io.PrintStream;
 import java.net.InetSocketAddress;
 import java.net.SocketAddress;
+import java.nio.file.Path;
 import java.util.Map;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
@@ -82,6 +85,9 @@
 
   private ManagementServer management;
 
+  /** Null where no other process takes over. */
+  private Succession succession;
+
   Gateway(GatewayConfig config, PrintStream err, Transport transport) {
     this.config = config;
     classes = config.classes();
@@ -103,6 +109,7 @@
     try {
       gateway.openToOperators();
       new WarmUp(config, environment).run(gateway.log, WarmUp.MOST_MS);
+      gateway.joinSuccession(temporary(environment));
       gateway.start();
     } catch (IllegalStateException e) {
       err.println("hazelspoke: " + e.getMessage());
@@ -173,6 +180,25 @@
     return management.listen(config.management());
   }
 
+  /** Where this process may write; it may share that with the one before and the one after it. */
+  static Path temporary(Map<String, String> environment) {
+    return Path.of(environment.getOrDefault("TMPDIR", System.getProperty("java.io.tmpdir")));
+  }
+
+  /** Where operators upgrade while it serves, another process may come to the same address. */
+  private void joinSuccession(Path folder) {
+    if (management != null) {
+      InetSocketAddress address = config.listen();
+      joinSuccession(
+          Succession.ofThisProcess(folder, address.getHostString() + "-" + address.getPort()));
+    }
+  }
+
+  /** Takes its place among those that serve at its address, before it starts. */
+  void joinSuccession(Succession line) {
+    succession = line;
+  }
+
   /** Starts everything and returns the address that clients can connect to. */
   SocketAddress start() {
     ChannelFuture binding = loop.submit(this::wire).syncUninterruptibly().getNow();
@@ -181,6 +207,13 @@
           "field config.listen cannot be listened on: " + binding.cause().getMessage());
     }
     serving = true;
+    if (succession != null) {
+      try {
+        succession.serve();
+      } catch (IOException e) {
+        log.failure("the process before this one will not know of it", e);
+      }
+    }
     return binding.channel().localAddress();
   }
 
@@ -247,7 +280,7 @@
             dispatcher,
             new ByteBudget(BODY_BYTES),
             clientSockets);
-    return clients.listen(transport, config.listen());
+    return clients.listen(transport, config.listen(), succession != null);
   }
 
   /**
@@ -299,15 +332,21 @@
 
   /**
    * Takes leave: what has been taken and what still comes for a moment is served, and nothing new
-   * after that. Returns when nothing is owed any more, or when it has to be over.
+   * after that. With a successor at the same address, nothing new comes from the beginning. Returns
+   * when nothing is owed any more, or when it has to be over.
    */
   public void drain() {
     long mostMs = (long) classes.longestDeadlineMs(clock.nowMs()) + DRAIN_MARGIN_MS;
+    boolean followed = succession != null && succession.isFollowed();
     loop.execute(
         () -> {
-          log.line("taking leave");
+          log.line(followed ? "handing over" : "taking leave");
           serving = false;
-          clients.drain();
+          if (followed) {
+            clients.handOver();
+          } else {
+            clients.drain();
+          }
           loop.schedule(this::stopListening, ACCEPT_ON_MS, TimeUnit.MILLISECONDS);
         });
     try {
--- a/src/main/java/hazelspoke/node/WarmUp.java
+++ b/src/main/java/hazelspoke/node/WarmUp.java
@@ -64,7 +64,7 @@
 
   WarmUp(GatewayConfig config, Map<String, String> environment) {
     this.config = config;
-    folder = Path.of(environment.getOrDefault("TMPDIR", System.getProperty("java.io.tmpdir")));
+    folder = Gateway.temporary(environment);
   }
 
   /**
@@ -75,13 +75,14 @@
   boolean run(Log log, long mostMs) {
     try {
       // By its process and not by a random name, as such names take long to make.
-      Path own = Files.createDirectory(folder.resolve("warm-up-" + ProcessHandle.current().pid()));
+      Path own = folder.resolve("warm-up-" + ProcessHandle.current().pid());
+      // The folder may outlive a process that was killed here, and an id may come again.
+      clear(own);
+      Files.createDirectory(own);
       try {
         play(own.resolve("gateway"), own.resolve("host"), mostMs);
       } finally {
-        Files.deleteIfExists(own.resolve("gateway"));
-        Files.deleteIfExists(own.resolve("host"));
-        Files.delete(own);
+        clear(own);
       }
     } catch (IOException | RuntimeException e) {
       log.failure("the warm-up failed", e);
@@ -91,6 +92,12 @@
     return left.getCount() == 0;
   }
 
+  private static void clear(Path own) throws IOException {
+    Files.deleteIfExists(own.resolve("gateway"));
+    Files.deleteIfExists(own.resolve("host"));
+    Files.deleteIfExists(own);
+  }
+
   private void play(Path front, Path host, long mostMs) throws InterruptedException {
     Transport transport = Transport.local(front, host);
     Gateway gateway =
--- a/src/test/java/hazelspoke/ArchitectureTest.java
+++ b/src/test/java/hazelspoke/ArchitectureTest.java
@@ -27,6 +27,7 @@
     "hazelspoke.discovery..",
     "hazelspoke.node..",
     "hazelspoke.operations..",
+    "hazelspoke.takeover..",
     "ternscale.."
   };
 
--- a/src/test/java/hazelspoke/node/Rig.java
+++ b/src/test/java/hazelspoke/node/Rig.java
@@ -1,6 +1,7 @@
 package hazelspoke.node;
 
 import hazelspoke.net.Transport;
+import hazelspoke.takeover.Succession;
 import io.netty.util.ResourceLeakDetector;
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
@@ -29,6 +30,7 @@
   final Map<String, String> environment;
   final Gateway gateway;
   final InetSocketAddress address;
+  private final Path folder;
   final InetSocketAddress operators;
   private final String known;
   private boolean left;
@@ -43,9 +45,16 @@
     gateway =
         new Gateway(GatewayConfig.read(environment), new PrintStream(log, true), Transport.TCP);
     operators = gateway.openToOperators();
+    folder = Files.createTempDirectory("gateway");
+    gateway.joinSuccession(succession(1));
     address = (InetSocketAddress) gateway.start();
   }
 
+  /** The place of a process with this id; all of them run. */
+  Succession succession(long process) {
+    return new Succession(folder, "here", process, id -> true);
+  }
+
   void configure(String text) throws IOException {
     Files.writeString(file, text);
   }
@@ -191,5 +200,7 @@
     leave();
     ResourceLeakDetector.setLevel(ResourceLeakDetector.Level.SIMPLE);
     Files.deleteIfExists(file);
+    Files.deleteIfExists(folder.resolve("pumicetray-here.serving"));
+    Files.delete(folder);
   }
 }
--- /dev/null
+++ b/src/test/java/hazelspoke/node/TakeoverTest.java
@@ -0,0 +1,124 @@
+package hazelspoke.node;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import hazelspoke.net.Transport;
+import hazelspoke.takeover.Succession;
+import java.io.IOException;
+import java.io.PrintStream;
+import java.net.Socket;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+/** Two processes of one gateway: the older leaves while clients come and go on asking. */
+class TakeoverTest {
+  private static final String HEALTH = "GET /healthz HTTP/1.1\r\nHost: x\r\n\r\n";
+
+  private static Gateway successor(Rig rig, FakeServer discovery) throws Exception {
+    rig.configure(
+        rig.config(160, discovery.address())
+            .replace("127.0.0.1:0", "127.0.0.1:" + rig.address.getPort()));
+    Gateway next =
+        new Gateway(
+            GatewayConfig.read(rig.environment), new PrintStream(rig.log, true), Transport.TCP);
+    next.openToOperators();
+    next.joinSuccession(rig.succession(2));
+    next.start();
+    return next;
+  }
+
+  /** Each of them waits in the queue of the one or the other when the older is told to leave. */
+  @Test
+  void whoWaitsToBeAcceptedByTheOldOneIsServedAndWhoComesThenMeetsTheNew() throws Exception {
+    CountDownLatch goOn = new CountDownLatch(1);
+    List<Socket> waiting = new ArrayList<>();
+    FakeServer.Reply reply =
+        (head, out) -> {
+          if (head.contains("/dispatch/wait")) {
+            goOn.await();
+          }
+          return FakeServer.answer(out, FakeServer.ok("done"));
+        };
+    try (FakeServer host = new FakeServer(reply);
+        FakeServer discovery = Rig.discovery(Rig.list(1, host));
+        Rig rig = new Rig(300, discovery, host);
+        Socket held = rig.connect();
+        Socket resting = rig.connect()) {
+      Rig.send(resting, Rig.dispatch(Rig.id(), ""));
+      assertThat(Rig.receive(resting)).contains(" 200 ").doesNotContain("close");
+      Rig.send(held, Rig.dispatch(Rig.id(), "").replace("/dispatch ", "/dispatch/wait "));
+      Rig.await("the host has it", () -> host.heads.size() == 2);
+      Gateway next = successor(rig, discovery);
+      CountDownLatch busy = new CountDownLatch(1);
+      rig.gateway.loop.execute(() -> await(busy));
+      for (int i = 0; i < 40; i++) {
+        Socket socket = rig.connect();
+        waiting.add(socket);
+        Rig.send(socket, Rig.dispatch(Rig.id(), ""));
+      }
+      Thread leaving = new Thread(rig::leave);
+      leaving.start();
+      Rig.await("told to leave", () -> leaving.getState() == Thread.State.TIMED_WAITING);
+      busy.countDown();
+      for (Socket socket : waiting) {
+        assertThat(Rig.receive(socket)).contains(" 200 ");
+      }
+      Rig.await("the listener is closed", () -> rig.log.toString().contains("handing over"));
+      for (int i = 0; i < 20; i++) {
+        assertThat(rig.ask(Rig.dispatch(Rig.id(), ""))).contains(" 200 ").doesNotContain("close");
+        assertThat(rig.ask(HEALTH)).contains(" 200 ");
+      }
+      // Who rests may ask once more and is sent over with the answer.
+      assertThat(resting.getInputStream().read()).isEqualTo(-1);
+      goOn.countDown();
+      assertThat(Rig.receive(held)).contains(" 200 ").containsIgnoringCase("connection: close");
+      leaving.join();
+      assertThat(rig.ask(HEALTH)).contains(" 200 ");
+      next.stop();
+    } finally {
+      goOn.countDown();
+      for (Socket socket : waiting) {
+        socket.close();
+      }
+    }
+  }
+
+  private static void await(CountDownLatch latch) {
+    try {
+      latch.await(Rig.PATIENCE_MS, TimeUnit.MILLISECONDS);
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+
+  @Test
+  void theLastThatBeganToServeFollowsAllOthersAsLongAsItRuns(@TempDir Path folder)
+      throws IOException {
+    Succession first = new Succession(folder, "127.0.0.1-8081", 1, pid -> pid != 3);
+    assertThat(first.isFollowed()).isFalse();
+    first.serve();
+    assertThat(first.isFollowed()).isFalse();
+    Succession elsewhere = new Succession(folder, "127.0.0.1-8082", 7, pid -> true);
+    elsewhere.serve();
+    assertThat(first.isFollowed()).isFalse();
+    Succession second = new Succession(folder, "127.0.0.1-8081", 2, pid -> true);
+    second.serve();
+    assertThat(first.isFollowed()).isTrue();
+    assertThat(second.isFollowed()).isFalse();
+    // One that crashed after its start leaves its name behind.
+    new Succession(folder, "127.0.0.1-8081", 3, pid -> true).serve();
+    assertThat(first.isFollowed()).isFalse();
+    try (var files = Files.list(folder)) {
+      for (Path file : files.toList()) {
+        Files.writeString(file, "no number");
+      }
+    }
+    assertThat(second.isFollowed()).isFalse();
+  }
+}
