Pass large bodies on as they come, in both directions; let heads take 2 s

Need: bodies of up to 32 MB come slowly and in pieces, together far over the memory. What was above 64 KiB was turned away or taken for spoilt, heads that took 2 s were closed: 563 requests cut off in 25 s.

Answers above 64 KiB go on from their first bytes; requests are held up to 256 KiB while there is room, from 64 KiB on they are passed on otherwise, and their time runs from the last byte. Clients are judged by progress.

--- a/src/main/java/hazelspoke/back/http/HostConnection.java
+++ b/src/main/java/hazelspoke/back/http/HostConnection.java
@@ -3,12 +3,14 @@
 import hazelspoke.core.Body;
 import hazelspoke.core.ByteBudget;
 import hazelspoke.core.HostCall;
+import hazelspoke.core.Inflow;
 import hazelspoke.core.Request;
 import hazelspoke.http.BodyWriter;
 import hazelspoke.http.HeadWriter;
 import hazelspoke.http.Headers;
 import hazelspoke.http.HttpLimits;
 import io.netty.buffer.ByteBuf;
+import io.netty.buffer.ByteBufUtil;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
@@ -16,6 +18,7 @@
 import io.netty.handler.codec.http.EmptyHttpHeaders;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
@@ -44,6 +47,9 @@
    */
   private static final long STALL_MS = 100;
 
+  /** What is passed on as it comes may come slowly; and its client has a part of it already. */
+  private static final long PASSING_STALL_MS = 5_000;
+
   private final HostClient client;
   private final HostClient.Pool pool;
   private final LastByteGate gate = new LastByteGate();
@@ -61,6 +67,9 @@
   private BodyWriter writer;
   private boolean sent;
 
+  /** Whether it was closed from here; what its host had to say before it closed it still counts. */
+  private boolean closed;
+
   /** Whether bytes have come that may be the beginning of an answer, since the last look. */
   private boolean heard;
 
@@ -70,6 +79,13 @@
   private long read;
   private Body answer;
   private ByteBudget.Share share;
+
+  /** Where the rest of an answer goes that is too large to be held; null with any other. */
+  private Inflow passing;
+
+  /** Of an answer that ends with its connection no length can be told. */
+  private boolean endsByClose;
+
   private ScheduledFuture<?> stallCheck;
   double restsSince;
 
@@ -89,6 +105,7 @@
   }
 
   void close() {
+    closed = true;
     channel.close();
   }
 
@@ -111,11 +128,14 @@
     if (wait) {
       gate.close();
     }
+    Body body = probing ? new Body() : request.body();
     writer =
         new BodyWriter(
             channel,
-            probing ? new Body() : request.body(),
-            wait ? this::allButLastWritten : this::lastWritten);
+            body,
+            body.wholeLength() == Body.UNKNOWN,
+            wait ? this::allButLastWritten : this::lastWritten,
+            this::broken);
     writer.start(head(request, next.remainingMs()));
   }
 
@@ -130,8 +150,11 @@
             .add(request.metadata())
             .add(HttpHeaderNames.HOST, pool.authority())
             .add(Headers.REMAINING, Headers.seconds(remainingMs));
-    if (request.body().length() > 0 || !safe) {
-      head.add(HttpHeaderNames.CONTENT_LENGTH, Long.toString(request.body().length()));
+    long length = request.body().wholeLength();
+    if (length == Body.UNKNOWN) {
+      head.add(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED);
+    } else if (length > 0 || !safe) {
+      head.add(HttpHeaderNames.CONTENT_LENGTH, Long.toString(length));
     }
     return head;
   }
@@ -212,7 +235,7 @@
   @Override
   public void channelRead(ChannelHandlerContext ctx, Object message) {
     try {
-      if (!channel.isOpen()) {
+      if (closed) {
         // Closed on account of what came before it in the same bytes.
         return;
       }
@@ -246,10 +269,11 @@
     read = 0;
     headers = response.headers();
     long length = HttpUtil.getContentLength(response, -1L);
-    // One without a length ends with its connection, and so does one that broke off.
-    boolean framed = length >= 0 || HttpUtil.isTransferEncodingChunked(response);
-    boolean fits = framed && length <= Body.MOST_BYTES;
     reusable = HttpUtil.isKeepAlive(response);
+    // One without a length ends with its connection, and so does one that broke off: only where the
+    // head says that the connection ends is it taken for whole.
+    endsByClose = length < 0 && !HttpUtil.isTransferEncodingChunked(response);
+    boolean fits = length <= Body.MOST_BYTES && !(endsByClose && reusable);
     if (!response.status().equals(HttpResponseStatus.OK)) {
       boolean turnedAway =
           (response.status().equals(HttpResponseStatus.SERVICE_UNAVAILABLE)
@@ -259,6 +283,9 @@
     } else if (fits) {
       answer = new Body();
       share = client.answerBudget().share(this::resumeReading);
+      if (length > Body.WHOLE_ANSWER_BYTES) {
+        passOn(length);
+      }
     }
     if (!fits) {
       spoilt();
@@ -276,21 +303,57 @@
       spoilt();
       return;
     }
-    if (call != null && bytes.isReadable()) {
+    if (passing != null && bytes.isReadable()) {
+      passing.offer(ByteBufUtil.getBytes(bytes));
+    } else if (call != null && bytes.isReadable()) {
       int more = bytes.readableBytes();
       answer.append(bytes);
       if (!share.add(more)) {
         channel.config().setAutoRead(false);
       }
+      if (answer.length() > Body.WHOLE_ANSWER_BYTES) {
+        passOn(Body.UNKNOWN);
+      }
     }
     if (content instanceof LastHttpContent) {
       answerWhole();
     }
   }
 
+  /** Hands over an answer of which only the beginning is there; the rest goes on as it comes. */
+  private void passOn(long length) {
+    passing =
+        new Inflow(
+            new Inflow.Source() {
+              @Override
+              public void flowing(boolean on) {
+                channel.config().setAutoRead(on);
+              }
+
+              @Override
+              public void abandoned() {
+                close();
+              }
+            });
+    answer.continueWith(passing, length);
+    hand();
+  }
+
+  private void hand() {
+    HostCall done = call;
+    Body body = answer;
+    ByteBudget.Share held = share;
+    call = null;
+    answer = null;
+    share = null;
+    String report = probing ? body.text() : report();
+    done.answered(Headers.endToEnd(headers), report, body, held);
+  }
+
   private void watchStall() {
     unwatchStall();
-    stallCheck = channel.eventLoop().schedule(this::checkStall, STALL_MS, TimeUnit.MILLISECONDS);
+    long ms = passing == null ? STALL_MS : PASSING_STALL_MS;
+    stallCheck = channel.eventLoop().schedule(this::checkStall, ms, TimeUnit.MILLISECONDS);
   }
 
   private void unwatchStall() {
@@ -317,18 +380,15 @@
     reading = false;
     reusable &= !decoder.hasMore();
     unwatchStall();
-    HostCall done = call;
-    call = null;
     // On a turn of its own, after all that came with the answer: what lies behind it closes the
     // connection before it can be used again.
     channel.eventLoop().execute(this::rest);
-    if (done != null) {
-      Body whole = answer;
-      ByteBudget.Share held = share;
-      answer = null;
-      share = null;
-      String report = probing ? whole.text() : report();
-      done.answered(Headers.endToEnd(headers), report, whole, held);
+    if (passing != null) {
+      Inflow whole = passing;
+      passing = null;
+      whole.end();
+    } else if (call != null) {
+      hand();
     }
   }
 
@@ -357,6 +417,16 @@
   /** The connection broke, or is of no more use. */
   private void broken() {
     reading = false;
+    if (passing != null) {
+      Inflow cut = passing;
+      passing = null;
+      cut.fail();
+    }
+    if (writer != null) {
+      BodyWriter unfinished = writer;
+      writer = null;
+      unfinished.abandon();
+    }
     if (call != null) {
       end(sent ? Result.RESET : Result.CONNECT_FAILED);
     } else {
--- a/src/main/java/hazelspoke/core/ByteBudget.java
+++ b/src/main/java/hazelspoke/core/ByteBudget.java
@@ -24,6 +24,11 @@
     return usedBytes;
   }
 
+  /** Whether less than half of it is used. */
+  public boolean isRoomy() {
+    return usedBytes < generalBytes / 2;
+  }
+
   /** A holder's part; {@code mayGoOn} is run when it was paused and there is room again. */
   public Share share(Runnable mayGoOn) {
     return new Share(mayGoOn);
--- a/src/main/java/hazelspoke/core/Dispatcher.java
+++ b/src/main/java/hazelspoke/core/Dispatcher.java
@@ -160,10 +160,25 @@
     exchanges.put(x.id, x);
     open.add(x.request().txn());
     x.overdue = new Overdue(x);
-    timers.add(x.overdue, info.deadline() + OVERDUE_MS - now);
+    if (x.deadline < Double.POSITIVE_INFINITY) {
+      timers.add(x.overdue, x.deadline + OVERDUE_MS - now);
+    }
     decide(x, () -> balancer.onRequest(clock.nowMs(), info));
   }
 
+  @Override
+  public void onWhole(Exchange x) {
+    if (x.ended) {
+      return;
+    }
+    double now = clock.nowMs();
+    x.whole(now, lag.waitedMs());
+    timers.add(x.overdue, x.deadline + OVERDUE_MS - now);
+    for (Attempt attempt : x.attempts) {
+      attempt.limit(x.deadline - now);
+    }
+  }
+
   /** What is kept of requests: those in hand, attempts still out, and what is to become due. */
   int held() {
     return exchanges.size() + open.size() + timers.size();
@@ -217,7 +232,8 @@
     x.attempts.add(attempt);
     x.out++;
     double leftMs = x.deadline - now;
-    if (x.ended || leftMs <= 0 || x.attempts.size() > settings.limits().maxAttempts()) {
+    boolean mayGo = !x.ended && leftMs > 0 && x.request().body().isRepeatable();
+    if (!mayGo || x.attempts.size() > settings.limits().maxAttempts()) {
       loop.execute(() -> attempt.settle(Result.NOT_SENT, ""));
       return;
     }
@@ -319,6 +335,9 @@
     private Hosts.Ticket ticket;
     private boolean over;
 
+    /** Of a request that was not whole: how long its host waited for the last byte. */
+    private double uploadMs;
+
     Attempt(Exchange x, String host, double now) {
       this.x = x;
       this.host = host;
@@ -327,10 +346,18 @@
     }
 
     private void go(double timeoutMs) {
-      timers.add(this, timeoutMs);
+      limit(timeoutMs);
       ticket = hosts.start(host, this);
     }
 
+    /** Waits for so long from now on; without end while the request is still coming. */
+    private void limit(double timeoutMs) {
+      if (!over && timeoutMs < Double.POSITIVE_INFINITY) {
+        timers.remove(this);
+        timers.add(this, timeoutMs);
+      }
+    }
+
     @Override
     void due() {
       // Given up before its last byte was written, it never ran.
@@ -372,11 +399,16 @@
 
     @Override
     public double remainingMs() {
-      return Math.max(0, x.deadline - clock.nowMs());
+      double leftMs = Math.max(0, x.deadline - clock.nowMs());
+      return leftMs < Double.POSITIVE_INFINITY ? leftMs : x.request().remainingMs();
     }
 
     @Override
     public void sent() {
+      Request request = x.request();
+      if (request != null && request.body().rest() != null) {
+        uploadMs = clock.nowMs() - startedAt;
+      }
       meter.sent();
     }
 
@@ -384,6 +416,7 @@
     public void answered(Metadata metadata, String loadReport, Body body, ByteBudget.Share share) {
       if (x.ended) {
         share.release();
+        body.abandon();
       } else {
         Dispatcher.this.answer(x, Answer.served(metadata, body, share));
       }
@@ -406,7 +439,8 @@
         exchanges.remove(x.id);
       }
       double elapsedMs = clock.nowMs() - startedAt;
-      double ownMs = lag.lostMs() - lostBefore;
+      // Nor is it the host's time in which the client was still sending.
+      double ownMs = Math.max(uploadMs, lag.lostMs() - lostBefore);
       List<Double> report =
           settings.reportMode() == Settings.ReportMode.WITH_ANSWERS
               ? names.report(loadReport)
@@ -457,6 +491,7 @@
     public void answered(
         Metadata metadata, String loadReport, Body answer, ByteBudget.Share share) {
       share.release();
+      answer.abandon();
       settle(Result.OK, loadReport);
     }
 
--- a/src/main/java/hazelspoke/core/Exchange.java
+++ b/src/main/java/hazelspoke/core/Exchange.java
@@ -20,6 +20,7 @@
   /** The gateway's own number: a client may send the same id again, once the first is over. */
   String id;
 
+  /** Infinite while the rest of it is still to come. */
   double deadline;
 
   /** What fails it should the module forget it; null before it is taken. */
@@ -54,6 +55,7 @@
   /** Ends it, and keeps nothing but what an attempt that is still out needs. */
   void letGo() {
     ended = true;
+    request.body().abandon();
     request = null;
     client = null;
     share.release();
@@ -64,15 +66,21 @@
     return share;
   }
 
+  /** The rest has come as well. */
+  void whole(double now, double waitedMs) {
+    deadline = now - waitedMs + request.remainingMs();
+  }
+
   /** The request is whole: its time has been running since it lay ready to be read. */
   RequestInfo taken(String ownId, double now, double waitedMs) {
     id = ownId;
-    deadline = now - waitedMs + request.remainingMs();
+    double ifWholeNow = now - waitedMs + request.remainingMs();
+    deadline = request.body().rest() == null ? ifWholeNow : Double.POSITIVE_INFINITY;
     return new RequestInfo(
         id,
         request.requestClass(),
         request.tenant(),
-        deadline,
+        ifWholeNow,
         request.costHintMs(),
         request.entity(),
         request.effect() != Effect.REPEATABLE,
--- a/src/main/java/hazelspoke/core/Intake.java
+++ b/src/main/java/hazelspoke/core/Intake.java
@@ -3,13 +3,20 @@
 /** Where fronts bring requests: the dispatcher, or a guard that stands before it. */
 public interface Intake {
   /**
-   * A request is whole. From now on it is owed one answer, or the word that its client has gone.
+   * A request is whole, or all of it that can be held is there. From now on it is owed one answer,
+   * or the word that its client has gone.
    */
   void onRequest(Exchange exchange);
 
   /** The client left before it had its answer; it is given none. Harmless for one answered. */
   void onClientGone(Exchange exchange);
 
+  /**
+   * All of a request has come that was handed over with a body whose rest was still to come; its
+   * time runs from now on. Harmless for one that has ended.
+   */
+  void onWhole(Exchange exchange);
+
   /** Whether a request with this id of a client's is still owed its answer. */
   boolean isOpen(String txn);
 }
--- a/src/main/java/hazelspoke/front/http/ClientConnection.java
+++ b/src/main/java/hazelspoke/front/http/ClientConnection.java
@@ -5,9 +5,11 @@
 import hazelspoke.core.ByteBudget;
 import hazelspoke.core.Client;
 import hazelspoke.core.Exchange;
+import hazelspoke.core.Inflow;
 import hazelspoke.http.BodyWriter;
 import hazelspoke.http.HeadWriter;
 import hazelspoke.http.Headers;
+import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
@@ -43,15 +45,20 @@
   /** And how much of what still comes: a client that sends on and on is not worth the reading. */
   private static final int MOST_LINGER_BYTES = 262_144;
 
+  /** But the rest of a request that was taken is read for so long, or its sender sees a reset. */
+  private static final double MOST_LINGER_MS = 10_000;
+
   /** What the connection is at, in the order in which others may take its place. */
   enum State {
     /** The last answer is out; what still comes is not read as a request. */
     CLOSING,
     /** Accepted, and no request has begun to come. */
     FRESH,
+    /** The first bytes of a request have come, and its head is not whole. */
+    HEAD,
     /** Between requests. */
     IDLE,
-    /** A request has begun to come. */
+    /** The head of a request has come, and the body has not, or not all of it. */
     READING,
     /** A whole request has not been answered. */
     IN_HAND,
@@ -71,8 +78,33 @@
   private BodyWriter writer;
   private ByteBudget.Share answerShare;
   private int lingerBytes;
+
+  /** Whether an answer went out to a request that was taken and whose rest is still coming. */
+  private boolean unfinished;
+
   private double enteredAt;
 
+  /** Of the request that is being read: its bytes so far, and when the last of them came. */
+  private long bodyBytes;
+
+  /** What its head says that it will have, or {@link Body#UNKNOWN}. */
+  private long declaredBytes;
+
+  private double heardAt;
+
+  /** From when on its rate is looked at, and the bytes that had come by then. */
+  private double countedFrom;
+
+  private long countedBytes;
+
+  /** Where the rest of a request goes that is handed over already; null with any other. */
+  private Inflow passing;
+
+  /** How far an answer had come when that was last looked at, and since when it stands there. */
+  private long seenGone;
+
+  private double seenGoneAt;
+
   ClientConnection(ClientServer server, Channel channel) {
     this.server = server;
     this.channel = channel;
@@ -88,6 +120,14 @@
     return enteredAt;
   }
 
+  /** Bytes have come, which are not decoded yet. */
+  void heard() {
+    heardAt = server.nowMs();
+    if (state == State.FRESH || state == State.IDLE) {
+      enter(State.HEAD);
+    }
+  }
+
   void close() {
     // At once, as the channel tells of its end on a later turn.
     server.closed(this);
@@ -122,7 +162,7 @@
   private void discard(Object message) {
     lingerBytes += size(message);
     ReferenceCountUtil.release(message);
-    if (lingerBytes > MOST_LINGER_BYTES) {
+    if (lingerBytes > (unfinished ? Body.MOST_BYTES : MOST_LINGER_BYTES)) {
       channel.config().setAutoRead(false);
     }
   }
@@ -182,16 +222,46 @@
     }
   }
 
+  /** Whether a body comes so slowly, by all that has come and by the last of it, as to not end. */
+  boolean isStalled(double now) {
+    if (countedFrom < enteredAt) {
+      countedFrom = enteredAt;
+      countedBytes = 0;
+    }
+    if (!channel.config().isAutoRead()) {
+      // It is this side that does not read on: counted anew from here.
+      countedFrom = now;
+      countedBytes = bodyBytes;
+      heardAt = now;
+    }
+    double readingMs = now - countedFrom;
+    double least = (readingMs - ClientServer.READING_MS) * ClientServer.LEAST_BYTES_PER_MS;
+    return readingMs > ClientServer.READING_MS
+        && (now - heardAt > ClientServer.READING_MS || bodyBytes - countedBytes < least);
+  }
+
+  /** Whether the client has not taken anything of its answer for so long, with some to take. */
+  boolean isUnread(double now, double forMs) {
+    long gone = writer == null ? 0 : writer.piecesGone();
+    if (gone != seenGone || (writer != null && !writer.awaitsPeer())) {
+      seenGone = gone;
+      seenGoneAt = now;
+    }
+    return now - Math.max(seenGoneAt, enteredAt) > forMs;
+  }
+
   private void head(HttpRequest request) throws BadRequestException {
     version = request.protocolVersion();
     keepAlive = HttpUtil.isKeepAlive(request);
     health = request.method().equals(HttpMethod.GET) && request.uri().equals("/healthz");
     enter(State.READING);
+    bodyBytes = 0;
     if (health) {
       RequestHead.checkLength(request, 0);
       return;
     }
     exchange = server.exchange(request, this);
+    declaredBytes = HttpUtil.getContentLength(request, Body.UNKNOWN);
     if (HttpUtil.is100ContinueExpected(request)) {
       channel.writeAndFlush(HeadWriter.answer(channel.alloc(), HttpResponseStatus.CONTINUE).end(0));
     }
@@ -199,35 +269,96 @@
 
   private void body(HttpContent content) throws BadRequestException {
     int more = content.content().readableBytes();
+    bodyBytes += more;
+    if (bodyBytes > Body.MOST_BYTES) {
+      throw new BadRequestException(
+          HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE, "the body is too large");
+    }
+    if (passing != null) {
+      passOn(content);
+      return;
+    }
     if (!health && more > 0) {
       Body body = exchange.request().body();
-      if (body.length() + more > Body.MOST_BYTES) {
-        throw new BadRequestException(
-            HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE, "the body is too large");
-      }
       body.append(content.content());
-      if (!exchange.share().add(more)) {
+      boolean room = exchange.share().add(more);
+      boolean large =
+          body.length() > Body.WHOLE_REQUEST_BYTES
+              || (body.length() > Body.LEAST_PASSED_ON_BYTES && !server.hasRoomForBodies());
+      if (large && !(content instanceof LastHttpContent)) {
+        passOnFrom(body);
+        return;
+      }
+      if (!room) {
         channel.config().setAutoRead(false);
       }
     }
     if (content instanceof LastHttpContent) {
       channel.config().setAutoRead(true);
       if (health) {
+        enter(State.IN_HAND);
         boolean ready = server.isReady();
         answer(
             ready ? HttpResponseStatus.OK : HttpResponseStatus.SERVICE_UNAVAILABLE,
             ready ? "ready" : "closing",
             0);
-      } else if (server.isOpen(exchange)) {
-        throw new BadRequestException(
-            HttpResponseStatus.CONFLICT, Headers.TXN + " belongs to an open request");
       } else {
+        checkNotOpen();
         enter(State.IN_HAND);
         server.taken(exchange);
       }
     }
   }
 
+  /** Hands over a request of which only the beginning is there; the rest goes on as it comes. */
+  private void passOnFrom(Body body) throws BadRequestException {
+    checkNotOpen();
+    Exchange handed = exchange;
+    passing =
+        new Inflow(
+            new Inflow.Source() {
+              @Override
+              public void flowing(boolean on) {
+                channel.config().setAutoRead(on);
+              }
+
+              @Override
+              public void attached() {
+                body.letGoOfHeld();
+                handed.share().release();
+              }
+
+              @Override
+              public void abandoned() {
+                // The answer is on its way; what still comes is read and dropped behind it.
+                channel.config().setAutoRead(true);
+              }
+            });
+    body.continueWith(passing, declaredBytes);
+    server.taken(handed);
+  }
+
+  private void passOn(HttpContent content) {
+    Inflow to = passing;
+    to.offer(ByteBufUtil.getBytes(content.content()));
+    if (content instanceof LastHttpContent) {
+      passing = null;
+      channel.config().setAutoRead(true);
+      Exchange whole = exchange;
+      enter(State.IN_HAND);
+      // Before its host has it: the time of the request runs from here.
+      server.whole(whole);
+      to.end();
+    }
+  }
+
+  private void checkNotOpen() throws BadRequestException {
+    if (server.isOpen(exchange)) {
+      throw new BadRequestException(
+          HttpResponseStatus.CONFLICT, Headers.TXN + " belongs to an open request");
+    }
+  }
+
   void resumeReading() {
     channel.config().setAutoRead(true);
   }
@@ -247,7 +378,11 @@
   /** Answers with a host's whole answer, unchanged. */
   private void served(Answer answer) {
     answerShare = answer.share();
-    write(head(HttpResponseStatus.OK, answer.body()).add(answer.metadata()), answer.body());
+    Body body = answer.body();
+    boolean untold = body.wholeLength() == Body.UNKNOWN;
+    // A client of the old protocol knows no chunks: its answer ends with the connection.
+    keepAlive &= !untold || !version.equals(HttpVersion.HTTP_1_0);
+    write(head(HttpResponseStatus.OK, body).add(answer.metadata()), body);
   }
 
   /** Answers in the gateway's own words. */
@@ -268,13 +403,20 @@
 
   private void write(HeadWriter head, Body body) {
     exchange = null;
+    passing = null;
     enter(State.ANSWERING);
-    writer = new BodyWriter(channel, body, this::answerWritten);
+    boolean chunked = body.wholeLength() == Body.UNKNOWN && !version.equals(HttpVersion.HTTP_1_0);
+    writer = new BodyWriter(channel, body, chunked, this::answerWritten, this::close);
     writer.start(head);
   }
 
   /** The head of an answer, with what is said of this connection. */
   private HeadWriter head(HttpResponseStatus status, Body body) {
+    if (state == State.READING || state == State.HEAD) {
+      // The rest of the request may still come, and is none of the next.
+      keepAlive = false;
+      unfinished = passing != null;
+    }
     keepAlive &= !server.isSendingAway();
     HeadWriter head = HeadWriter.answer(channel.alloc(), status);
     if (!keepAlive) {
@@ -282,7 +424,12 @@
     } else if (version.equals(HttpVersion.HTTP_1_0)) {
       head.add(HttpHeaderNames.CONNECTION, HttpHeaderValues.KEEP_ALIVE);
     }
-    return head.add(HttpHeaderNames.CONTENT_LENGTH, Long.toString(body.length()));
+    if (body.wholeLength() != Body.UNKNOWN) {
+      head.add(HttpHeaderNames.CONTENT_LENGTH, Long.toString(body.wholeLength()));
+    } else if (!version.equals(HttpVersion.HTTP_1_0)) {
+      head.add(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED);
+    }
+    return head;
   }
 
   @Override
@@ -334,7 +481,17 @@
     dropAhead();
     channel.config().setAutoRead(true);
     ((DuplexChannel) channel).shutdownOutput();
-    channel.eventLoop().schedule(this::close, LINGER_MS, TimeUnit.MILLISECONDS);
+    channel.eventLoop().schedule(this::endLinger, LINGER_MS, TimeUnit.MILLISECONDS);
+  }
+
+  private void endLinger() {
+    double now = server.nowMs();
+    boolean sendsOn = unfinished && channel.config().isAutoRead() && now - heardAt < LINGER_MS;
+    if (sendsOn && now - enteredAt < MOST_LINGER_MS) {
+      channel.eventLoop().schedule(this::endLinger, LINGER_MS, TimeUnit.MILLISECONDS);
+    } else {
+      close();
+    }
   }
 
   @Override
@@ -345,6 +502,11 @@
   @Override
   public void channelInactive(ChannelHandlerContext ctx) {
     server.closed(this);
+    if (writer != null) {
+      BodyWriter unfinished = writer;
+      writer = null;
+      unfinished.abandon();
+    }
     releaseAnswer();
     dropAhead();
     if (state == State.IN_HAND && exchange != null) {
@@ -365,8 +527,16 @@
   /** Forgets a request that was not taken on. */
   private void dropExchange() {
     if (exchange != null) {
-      exchange.share().release();
+      Exchange dropped = exchange;
       exchange = null;
+      if (passing != null) {
+        // It was handed over, but never became whole: it is owed no answer but this side's.
+        passing.fail();
+        passing = null;
+        server.clientGone(dropped);
+      } else {
+        dropped.share().release();
+      }
     }
   }
 
--- a/src/main/java/hazelspoke/front/http/ClientServer.java
+++ b/src/main/java/hazelspoke/front/http/ClientServer.java
@@ -42,10 +42,16 @@
   /** While there is plenty of room one that was of use may rest longer: its client may return. */
   private static final double IDLE_WITH_ROOM_MS = 10_000;
 
-  /** Clients send what they have to send at once; a request not whole by now will not be. */
-  private static final double READING_MS = 2_000;
+  /** A head may take 2 s; who has not ended it by now will not. */
+  private static final double HEAD_MS = 2_500;
 
-  /** A client that has not taken its answer for this long does not want it. */
+  /** A body of which nothing has come for so long will not become whole. */
+  static final double READING_MS = 2_000;
+
+  /** Nor one that goes on with less than this: a quarter of what slow clients send. */
+  static final double LEAST_BYTES_PER_MS = 16;
+
+  /** A client that has taken nothing of its answer for this long does not want it. */
   private static final double WRITING_MS = 3_000;
 
   /** A new connection is given this long to say something before another may take its place. */
@@ -134,7 +140,11 @@
 
   private void accept(Channel ch) {
     ClientConnection connection = new ClientConnection(this, ch);
-    ch.pipeline().addLast(new StrictRequestDecoder(HttpLimits.decoderConfig()), connection);
+    ch.pipeline()
+        .addLast(
+            new FirstBytes(connection),
+            new StrictRequestDecoder(HttpLimits.decoderConfig()),
+            connection);
     byState.get(connection.state()).add(connection);
     open++;
     if (open >= mostConnections && !makingRoom) {
@@ -169,7 +179,7 @@
   }
 
   private ClientConnection victim(double now) {
-    for (State state : List.of(State.CLOSING, State.FRESH, State.IDLE, State.READING)) {
+    for (State state : List.of(State.CLOSING, State.FRESH, State.HEAD, State.IDLE, State.READING)) {
       Set<ClientConnection> candidates = byState.get(state);
       if (!candidates.isEmpty()) {
         ClientConnection longest = candidates.iterator().next();
@@ -200,8 +210,18 @@
     double restMs = open > mostConnections / 2 ? IDLE_MS : IDLE_WITH_ROOM_MS;
     expire(State.FRESH, go ? LAME_REST_MS : IDLE_MS);
     expire(State.IDLE, go ? 0 : restMs);
-    expire(State.READING, READING_MS);
-    expire(State.ANSWERING, WRITING_MS);
+    expire(State.HEAD, HEAD_MS);
+    double now = clock.nowMs();
+    for (ClientConnection c : List.copyOf(byState.get(State.READING))) {
+      if (c.isStalled(now)) {
+        c.expire();
+      }
+    }
+    for (ClientConnection c : List.copyOf(byState.get(State.ANSWERING))) {
+      if (c.isUnread(now, WRITING_MS)) {
+        c.expire();
+      }
+    }
   }
 
   private void expire(State state, double afterMs) {
@@ -256,6 +276,11 @@
     return new Exchange(head, client, bodyBudget.share(client::resumeReading));
   }
 
+  /** Whether bodies may be held until they are whole, up to the larger of the bounds. */
+  boolean hasRoomForBodies() {
+    return bodyBudget.isRoomy();
+  }
+
   /** Whether another request with the same id is open; that one goes on. */
   public boolean isOpen(Exchange exchange) {
     return intake.isOpen(exchange.request().txn());
@@ -265,6 +290,10 @@
     intake.onRequest(exchange);
   }
 
+  public void whole(Exchange exchange) {
+    intake.onWhole(exchange);
+  }
+
   public void clientGone(Exchange exchange) {
     intake.onClientGone(exchange);
   }
@@ -300,7 +329,7 @@
 
   /** Whether a request is coming or in hand, or an answer not yet written. */
   public boolean isBusy() {
-    return Stream.of(State.READING, State.IN_HAND, State.ANSWERING)
+    return Stream.of(State.HEAD, State.READING, State.IN_HAND, State.ANSWERING)
         .anyMatch(state -> !byState.get(state).isEmpty());
   }
 }
