Watch discovery at once beside a serving process; wire operators in a class of their own

Need: on upgrades while servers are released 533 to 753 requests were turned away at hosts and 23 to 25 % of all refused for 5 s. Cause: the module spreads a gateway's first call to discovery over 8 s, and until then the new process went by the list in its configuration and sent to hosts that drained.

A process that finds another serving watches discovery as it starts.

Besides, without a change of behaviour: node.Operators wires what operators have, as Gateway's check by the JVM loaded one class of it where it was off; http.ReadingSource for two like blocks; the core's page says what holds for bodies whose rest is still to come; tests share what they wait with. 299 tests.

--- a/src/main/java/hazelspoke/ServeCommand.java
+++ b/src/main/java/hazelspoke/ServeCommand.java
@@ -10,7 +10,8 @@
     mixinStandardHelpOptions = true,
     description = {
       "Run one gateway, as the file that the variable NODE_CONFIG names tells it.",
-      "SIGHUP: read again where discovery is. SIGTERM: finish what was taken, and leave."
+      "SIGHUP: read discovery's address, classes and limits again.",
+      "SIGTERM: finish what was taken, and leave."
     },
     exitCodeListHeading = "Exit codes:%n",
     exitCodeList = {"0:left after SIGTERM", "1:the configuration cannot be used"})
--- a/src/main/java/hazelspoke/back/http/HostConnection.java
+++ b/src/main/java/hazelspoke/back/http/HostConnection.java
@@ -9,6 +9,7 @@
 import hazelspoke.http.HeadWriter;
 import hazelspoke.http.Headers;
 import hazelspoke.http.HttpLimits;
+import hazelspoke.http.ReadingSource;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufUtil;
 import io.netty.channel.Channel;
@@ -324,12 +325,7 @@
   private void passOn(long length) {
     passing =
         new Inflow(
-            new Inflow.Source() {
-              @Override
-              public void flowing(boolean on) {
-                channel.config().setAutoRead(on);
-              }
-
+            new ReadingSource(channel) {
               @Override
               public void abandoned() {
                 close();
--- a/src/main/java/hazelspoke/core/package-info.java
+++ b/src/main/java/hazelspoke/core/package-info.java
@@ -23,8 +23,14 @@
  * <tr><td>gone</td><td>nothing</td><td>nothing</td><td></td></tr>
  * </table>
  *
- * An answer comes by the client's deadline and {@value hazelspoke.core.Dispatcher#OVERDUE_MS} ms at
- * the latest, whatever the module or a back does; a module that throws costs the request that it
+ * A request may be handed over before it is whole, with a body whose {@link
+ * hazelspoke.core.Body#rest rest} is still to come. Its front says {@link
+ * hazelspoke.core.Intake#onWhole onWhole} when all of it is there, and its time runs from then;
+ * until then it may be answered (what still comes is then its front's to drop) or its client may
+ * go.
+ *
+ * <p>An answer comes by the client's deadline and {@value hazelspoke.core.Dispatcher#OVERDUE_MS} ms
+ * at the latest, whatever the module or a back does; a module that throws costs the request that it
  * was told of, as failed, and no other.
  *
  * <h2>The life of a call</h2>
@@ -38,6 +44,11 @@
  * may have let go of it. A back must never say of a call that it did not run ({@code
  * CONNECT_FAILED}, {@code NOT_SENT}, {@code REJECTED}) unless that is proven.
  *
+ * <p>A call says {@link hazelspoke.core.HostCall#sent sent} when its last byte was handed over. A
+ * request whose rest has begun to go to one host can go to no other: a further attempt ends as not
+ * sent. An answer with a rest has ended its call with its beginning; if the rest does not come, the
+ * {@link hazelspoke.core.Inflow} says so to whoever writes it on.
+ *
  * <h2>Who owns what</h2>
  *
  * <ul>
@@ -48,6 +59,8 @@
  *       and with {@code answer} the front's, who releases the share once the body is written or
  *       cannot be. An answer that comes too late for its client is released by the core.
  *   <li><b>Metadata</b> belongs to whoever makes it until it is handed on; then it does not change.
+ *   <li>The <b>rest</b> of a body goes from its source to the one sink that attaches; whoever ends
+ *       with it before it has ended {@link hazelspoke.core.Inflow#abandon abandons} it.
  *   <li>No reference-counted buffer crosses these lines: bodies are copied out of read buffers.
  *   <li>Of a request that has ended only what an attempt still out needs is kept, until that ends
  *       too: its host, number and start, so that the module hears of it.
--- a/src/main/java/hazelspoke/front/http/ClientConnection.java
+++ b/src/main/java/hazelspoke/front/http/ClientConnection.java
@@ -9,6 +9,7 @@
 import hazelspoke.http.BodyWriter;
 import hazelspoke.http.HeadWriter;
 import hazelspoke.http.Headers;
+import hazelspoke.http.ReadingSource;
 import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
@@ -316,12 +317,7 @@
     Exchange handed = exchange;
     passing =
         new Inflow(
-            new Inflow.Source() {
-              @Override
-              public void flowing(boolean on) {
-                channel.config().setAutoRead(on);
-              }
-
+            new ReadingSource(channel) {
               @Override
               public void attached() {
                 body.letGoOfHeld();
--- a/src/main/java/hazelspoke/node/Gateway.java
+++ b/src/main/java/hazelspoke/node/Gateway.java
@@ -10,9 +10,6 @@
 import hazelspoke.discovery.DiscoveryClient;
 import hazelspoke.front.http.ClientServer;
 import hazelspoke.net.Transport;
-import hazelspoke.operations.Figures;
-import hazelspoke.operations.ManagementServer;
-import hazelspoke.operations.Operated;
 import hazelspoke.takeover.Succession;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.EventLoop;
@@ -80,10 +77,8 @@
   /** Whether clients are taken; operators ask from a thread of their own. */
   private volatile boolean serving;
 
-  /** Both null where operators have no address. */
-  private Figures figures;
-
-  private ManagementServer management;
+  /** Null where operators have no address. */
+  private Operators operators;
 
   /** Null where no other process takes over. */
   private Succession succession;
@@ -153,31 +148,23 @@
     if (config.management() == null) {
       return null;
     }
-    figures = new Figures(config.names().classes());
-    management =
-        new ManagementServer(
-            new Operated() {
-              @Override
-              public boolean isReady() {
-                return serving;
-              }
+    operators = new Operators(this, config.names().classes());
+    return operators.listen(config.management());
+  }
 
-              @Override
-              public boolean lameDuck(boolean on) {
-                boolean can = serving;
-                if (can) {
-                  clients.lameDuck(on);
-                  loop.execute(() -> log.line("drain by operators: " + (on ? "on" : "off")));
-                }
-                return can;
-              }
+  /** Whether clients are taken; any thread may ask. */
+  boolean isServing() {
+    return serving;
+  }
 
-              @Override
-              public String figures() {
-                return figures.text();
-              }
-            });
-    return management.listen(config.management());
+  /** Begins or ends a drain by operators, at once and from any thread; false if it cannot. */
+  boolean lameDuck(boolean on) {
+    boolean can = serving;
+    if (can) {
+      clients.lameDuck(on);
+      loop.execute(() -> log.line("drain by operators: " + (on ? "on" : "off")));
+    }
+    return can;
   }
 
   /** Where this process may write; it may share that with the one before and the one after it. */
@@ -187,7 +174,7 @@
 
   /** Where operators upgrade while it serves, another process may come to the same address. */
   private void joinSuccession(Path folder) {
-    if (management != null) {
+    if (operators != null) {
       InetSocketAddress address = config.listen();
       joinSuccession(
           Succession.ofThisProcess(folder, address.getHostString() + "-" + address.getPort()));
@@ -218,7 +205,7 @@
   }
 
   private ChannelFuture wire() {
-    int others = OTHER_DESCRIPTORS + (management == null ? 0 : ManagementServer.DESCRIPTORS);
+    int others = OTHER_DESCRIPTORS + (operators == null ? 0 : Operators.DESCRIPTORS);
     int shared = Math.max(4, config.sockets() - others);
     int hostSockets = (int) (HOST_PART * shared);
     int clientSockets = shared - hostSockets;
@@ -239,7 +226,7 @@
             clock,
             log,
             hosts,
-            figures == null ? Meter.NONE : figures);
+            operators == null ? Meter.NONE : operators.meter());
     discovery =
         new DiscoveryClient(
             loop,
@@ -260,13 +247,15 @@
     dispatcher.start(balancer, discovery);
     dispatcher.onMembers(MembersUpdate.Kind.CACHED, config.known());
     discovery.start();
-    if (figures != null) {
+    if (succession != null && succession.hasPredecessor()) {
+      // The module spreads first calls, as a whole fleet may be starting. This one starts alone,
+      // and
+      // the list that it was given may be old. The module's own call then finds it done.
+      discovery.watch(true);
+    }
+    if (operators != null) {
       loop.scheduleAtFixedRate(
-          () -> {
-            int known = hosts.size();
-            int usable = balancer.usableHosts(clock.nowMs());
-            figures.hosts(known, Math.max(0, known - usable));
-          },
+          () -> operators.hosts(hosts.size(), balancer.usableHosts(clock.nowMs())),
           0,
           FIGURES_MS,
           TimeUnit.MILLISECONDS);
@@ -302,8 +291,8 @@
           } catch (ConfigException | IllegalArgumentException e) {
             log.line("kept the old configuration: " + e.getMessage());
           }
-          if (figures != null) {
-            figures.loaded(good);
+          if (operators != null) {
+            operators.loaded(good);
           }
         });
   }
@@ -325,8 +314,8 @@
       }
     }
     classes = book;
-    if (figures != null) {
-      figures.nameClasses(book.names());
+    if (operators != null) {
+      operators.nameClasses(book.names());
     }
   }
 
@@ -361,8 +350,8 @@
 
   /** Ends at once, with whatever is under way. */
   public void stop() {
-    if (management != null) {
-      management.close();
+    if (operators != null) {
+      operators.close();
     }
     group.shutdownGracefully(0, 0, TimeUnit.MILLISECONDS).awaitUninterruptibly();
   }
--- a/src/main/java/hazelspoke/takeover/Succession.java
+++ b/src/main/java/hazelspoke/takeover/Succession.java
@@ -53,8 +53,17 @@
     Files.move(own, file, StandardCopyOption.ATOMIC_MOVE, StandardCopyOption.REPLACE_EXISTING);
   }
 
+  /** Whether another process serves already, asked before this one does. */
+  public boolean hasPredecessor() {
+    return isNewestAnother();
+  }
+
   /** Whether another process has begun to serve since this one did, and runs. */
   public boolean isFollowed() {
+    return isNewestAnother();
+  }
+
+  private boolean isNewestAnother() {
     try {
       long newest = Long.parseLong(Files.readString(file).trim());
       return newest != self && isAlive.test(newest);
--- a/src/test/java/hazelspoke/node/Rig.java
+++ b/src/test/java/hazelspoke/node/Rig.java
@@ -15,6 +15,8 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.BooleanSupplier;
 
@@ -187,6 +189,26 @@
     }
   }
 
+  /** Holds a thread up until the test lets it go on. */
+  static void hold(CountDownLatch until) {
+    try {
+      until.await(PATIENCE_MS, TimeUnit.MILLISECONDS);
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+
+  /** A host that answers well, and what has this path only once it may. */
+  static FakeServer holdingHost(String path, CountDownLatch until) throws IOException {
+    return new FakeServer(
+        (head, out) -> {
+          if (head.contains(path)) {
+            hold(until);
+          }
+          return FakeServer.answer(out, FakeServer.ok("done"));
+        });
+  }
+
   /** Takes leave as after SIGTERM; the gateway is gone when this returns. */
   void leave() {
     if (!left) {
