--- a/src/main/java/hazelspoke/node/WarmUp.java
+++ b/src/main/java/hazelspoke/node/WarmUp.java
@@ -2,6 +2,7 @@
 
 import hazelspoke.core.Client;
 import hazelspoke.core.Log;
+import hazelspoke.net.LocalSockets;
 import hazelspoke.net.Transport;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.bootstrap.ServerBootstrap;
@@ -68,7 +69,9 @@
   }
 
   /**
-   * Never keeps a gateway from starting, nor for longer than this: it is of use, not of need.
+   * Never keeps a gateway from starting, nor for longer than this: it is of use, not of need. Where
+   * sockets in the file system carry nothing it is left out at once: there it could only wait out
+   * its time, while clients find nobody.
    *
    * @return whether all requests were answered
    */
@@ -80,7 +83,11 @@
       clear(own);
       Files.createDirectory(own);
       try {
-        play(own.resolve("gateway"), own.resolve("host"), mostMs);
+        if (LocalSockets.carry(own.resolve("host"))) {
+          play(own.resolve("gateway"), own.resolve("host"), mostMs);
+        } else {
+          log.line("no warm-up: sockets in the file system carry nothing here");
+        }
       } finally {
         clear(own);
       }
--- a/src/test/java/hazelspoke/node/Rig.java
+++ b/src/test/java/hazelspoke/node/Rig.java
@@ -62,8 +62,12 @@
   }
 
   String config(int sockets, String discovery) {
+    return config("127.0.0.1:0", sockets, discovery, known);
+  }
+
+  static String config(String listen, int sockets, String discovery, String known) {
     return """
-        {"name":"n0","listen":"127.0.0.1:0","discovery":"%s","seed":"1","limits":{"sockets":%d},
+        {"name":"n0","listen":"%s","discovery":"%s","seed":"1","limits":{"sockets":%d},
          "known":%s,"settings":{"areas":["a"],"az":0,"instances":1,"discovery":"pushed","quantum":1,
          "grades":[
           {"name":"reserve","effect":"by_key","group":"zone","aim":10000,"hard_limit":20000,
@@ -75,7 +79,7 @@
          "rules":{"cold_from":0.9,"cold":1000,"fall_multiple":3,"fall":3000,"drain_grace":1000,
           "grace_to_answer":20,"must_ask_in":10000},"kinds":["k"]}}
         """
-        .formatted(discovery, sockets, known);
+        .formatted(listen, discovery, sockets, known);
   }
 
   static String list(int index, FakeServer... hosts) {
