Keep connections where handshakes are priced, and prefer hosts with one at rest for a key

Causes: the module closes what has rested for 1 s (LINGER_MS, made for full tables where handshakes cost nothing), and Selector.drawByKey looks up a key's hosts among all that tie, whether or not a connection rests there. Ruled out: closing by hosts (0 closed as idle) and lack of descriptors (55 of 512).

Where prices.handshake is above 0 connections rest for 0.8 of limits.conn_idle, and a host with one at rest weighs four times for a key.

--- a/src/main/java/ternscale/policy/HostTable.java
+++ b/src/main/java/ternscale/policy/HostTable.java
@@ -56,6 +56,13 @@
   /** With short ones out, a host that has said nothing for this part of the aim hangs or pauses. */
   private static final double QUIET_PART = 0.5;
 
+  /** Connections idle for this long are closed: they fill the hosts' tables (incident i59fa1d). */
+  private static final double LINGER_MS = 1_000;
+
+  /** Where new ones are priced, for this part of the time after which their host closes them. */
+  private static final double PRICED_LINGER_PART = 0.8;
+
+  double lingerMs;
   private final Map<String, Host> byId = new LinkedHashMap<>();
   private Host[] all = new Host[0];
   final ColdStart coldStart;
@@ -79,6 +86,8 @@
   void retune(Settings next) {
     classLatency = Arrays.copyOf(classLatency, next.classes().size());
     classWork = Arrays.copyOf(classWork, next.classes().size());
+    double part = next.prices().handshake() > 0 ? PRICED_LINGER_PART : 0;
+    lingerMs = Math.max(LINGER_MS, part * next.limits().idleConnectionMs());
   }
 
   Host[] all() {
@@ -96,10 +105,8 @@
       if (h.apply(e)) {
         coldStart.begin(h, now);
       }
-      if (e.kind() >= kindSlow.length) {
-        kindSlow = Arrays.copyOf(kindSlow, e.kind() + 1);
-        kindCount = Arrays.copyOf(kindCount, e.kind() + 1);
-      }
+      kindSlow = Arrays.copyOf(kindSlow, Math.max(kindSlow.length, e.kind() + 1));
+      kindCount = Arrays.copyOf(kindCount, kindSlow.length);
     }
     ring.clear();
     for (Host h : byId.values()) {
@@ -133,9 +140,7 @@
       h.heardAt = now;
     }
     if (result == Result.OK) {
-      if (h.failures < EJECT_FAILURES / 3) {
-        h.ejections = Math.max(0, h.ejections - 1);
-      }
+      h.ejections -= h.ejections > 0 && h.failures < EJECT_FAILURES / 3 ? 1 : 0;
       h.rejections = 0;
       learnSpeed(h, p, elapsedMs);
     } else if (result == Result.REJECTED) {
--- a/src/main/java/ternscale/policy/LcStarBalancer.java
+++ b/src/main/java/ternscale/policy/LcStarBalancer.java
@@ -32,9 +32,6 @@
   /** A long one waits this part of its aim; the paper lets it wait without end. */
   private static final double LONG_WAIT = 0.1;
 
-  /** Connections idle for this long are closed: they fill the hosts' tables (incident i59fa1d). */
-  private static final double LINGER_MS = 1_000;
-
   private Settings settings;
   private final Actions actions;
   private final ColdStart coldStart;
@@ -84,7 +81,7 @@
     if (requests.putIfAbsent(request.id(), p) != null) {
       throw new IllegalArgumentException("request id used before: " + request.id());
     }
-    if (now - sweptAt > LINGER_MS / 4) {
+    if (now - sweptAt > hosts.lingerMs / 4) {
       sweptAt = now;
       closeIdle(now);
       coldStart.census(hosts.ring, now);
@@ -222,7 +219,7 @@
   /** Incident i59fa1d: no host of use left, as idle connections had filled their tables. */
   private void closeIdle(double now) {
     for (Host h : hosts.ring) {
-      if (h.connectedAt > 0 && h.inFlight == 0 && now - h.connectedAt > LINGER_MS) {
+      if (h.connectedAt > 0 && h.inFlight == 0 && now - h.connectedAt > hosts.lingerMs) {
         h.connectedAt = 0;
         actions.closeIdle(h.id);
       }
@@ -296,12 +293,9 @@
   }
 
   private static Pending.Attempt takeOut(Pending p, int number) {
-    for (int i = 0; i < p.out.size(); i++) {
-      if (p.out.get(i).number() == number) {
-        return p.out.remove(i);
-      }
-    }
-    return null;
+    Pending.Attempt a = p.out.stream().filter(o -> o.number() == number).findFirst().orElse(null);
+    p.out.remove(a);
+    return a;
   }
 
   private void retryHeld(double now) {
--- a/src/main/java/ternscale/policy/Selector.java
+++ b/src/main/java/ternscale/policy/Selector.java
@@ -29,6 +29,9 @@
   /** A key gets one more host each time its traffic grows by this part of a host's share. */
   private static final double KEY_SHARE_PER_HOST = 0.5;
 
+  /** Where a handshake has a price, one with a connection at rest weighs so much more for a key. */
+  private static final double REUSE = 4;
+
   /** Covers what the last digits of a logarithm may be off. */
   private static final double BELOW_LOG = 1 - 1e-9;
 
@@ -67,6 +70,7 @@
   private double meanInFlight;
   private final double mostCrossing;
   private double crossing;
+  private double keptSince;
 
   Selector(HostTable hosts, Settings settings, Random random) {
     this.hosts = hosts;
@@ -97,6 +101,7 @@
     if (now - refreshedAt >= REFRESH_MS) {
       refresh(now);
     }
+    keptSince = settings.prices().handshake() > 0 ? now - hosts.lingerMs : now;
     Host[] all = hosts.all();
     if (tied.length < all.length) {
       tied = new Host[all.length];
@@ -173,8 +178,9 @@
       Host h = from[i];
       double u = ((mix(keyHash ^ h.hash) >>> 11) + 0.5) * 0x1.0p-53;
       // As -log u is above 1 - u, most are known not to be among the first without a logarithm.
-      boolean last = n == most && (1 - u) * BELOW_LOG > score[n - 1] * h.drawWeight;
-      double s = last ? Double.POSITIVE_INFINITY : -Math.log(u) / h.drawWeight;
+      double w = h.connectedAt > keptSince ? REUSE * h.drawWeight : h.drawWeight;
+      boolean last = n == most && (1 - u) * BELOW_LOG > score[n - 1] * w;
+      double s = last ? Double.POSITIVE_INFINITY : -Math.log(u) / w;
       if (h.inFlight != inFlight || (n == most && s >= score[n - 1]) || !ready.test(h)) {
         continue;
       }
--- a/src/test/java/ternscale/policy/Gateway.java
+++ b/src/test/java/ternscale/policy/Gateway.java
@@ -17,6 +17,8 @@
 final class Gateway implements Actions {
   record Sent(String request, String host, int attempt) {}
 
+  private static final Settings.Prices FREE = new Settings.Prices(0, 0, 0, 0, 0);
+
   final List<String> log = new ArrayList<>();
   final List<Sent> sent = new ArrayList<>();
   final LcStarBalancer balancer;
@@ -47,16 +49,32 @@
       boolean marksRetries,
       RequestClass... classes) {
     return settings(
-        discovery, hostsRememberKeys, marksRetries, new Settings.Goal(1, 0, 0, 0), 0, classes);
+        discovery, hostsRememberKeys, marksRetries, new Settings.Goal(1, 0, 0, 0), FREE, classes);
   }
 
   static Settings goal(Settings.Goal goal, RequestClass... classes) {
-    return settings(Settings.Discovery.PUSHED, false, false, goal, 0, classes);
+    return settings(Settings.Discovery.PUSHED, false, false, goal, FREE, classes);
   }
 
   static Settings crossing(double price, RequestClass... classes) {
     return settings(
-        Settings.Discovery.PUSHED, false, false, new Settings.Goal(1, 0, 0, 0), price, classes);
+        Settings.Discovery.PUSHED,
+        false,
+        false,
+        new Settings.Goal(1, 0, 0, 0),
+        new Settings.Prices(price, 0, 0, 0, 0),
+        classes);
+  }
+
+  /** With hosts that remember keys, and this price of a handshake. */
+  static Settings handshake(double price, RequestClass... classes) {
+    return settings(
+        Settings.Discovery.PUSHED,
+        true,
+        false,
+        new Settings.Goal(1, 0, 0, 0),
+        new Settings.Prices(0, 0, 0, 0, price),
+        classes);
   }
 
   private static Settings settings(
@@ -64,7 +82,7 @@
       boolean hostsRememberKeys,
       boolean marksRetries,
       Settings.Goal goal,
-      double crossZone,
+      Settings.Prices prices,
       RequestClass... classes) {
     return new Settings(
         0,
@@ -81,7 +99,7 @@
         marksRetries,
         new Settings.Limits(4, true, true, true, false, true, 1000, 100, 10_000, 1),
         new Settings.Rules(0.2, 10_000, 3, 3000, 1000, 20, 10_000),
-        new Settings.Prices(crossZone, 0, 0, 0, 0),
+        prices,
         goal,
         Settings.ReportMode.NONE,
         List.of(),
