Pass over a whole zone that is silent, even if it is most of the hosts

Followed through the logs (a probe of one line for each outcome and end): 293 of the 457 connects that failed belong to 4 gateways, those whose own zone was cut off. Gateway n15 from 8.2 s on: "CONNECT_FAILED host=s- a=0 elapsed=254", then nine other hosts, and request 222 "a=0" to "a=3" all of them silent; 90 connects and 28 time-outs in all. 249 requests were then refused with level 0.9. Ruled out: load (p50 of the others 99 to 131 ms, and 20 of 30 gateways refused 0 to 10), and hosts of its own zone, which answered all the time.

Cause: HostTable.eject passes over no more than EJECT_SHARE = 0.4 of the list; of a zone that is cut off from three others 0.75 are silent. So ejections beyond it are not made, LC* goes on with the silent ones, and their time-outs, as the host is not ejected, count as load in LcStarBalancer.onOutcome.

Where anybody was heard in the last 2 s and nobody of the host's zone for half an aim, or as long as the attempt took, up to 0.8 of the hosts may be passed over.

--- a/src/main/java/ternscale/policy/HostTable.java
+++ b/src/main/java/ternscale/policy/HostTable.java
@@ -38,6 +38,9 @@
   /** Never eject more than this part of the listed hosts. */
   private static final double EJECT_SHARE = 0.4;
 
+  /** Unless a zone is silent and others speak: a gateway that is cut off hears its own alone. */
+  private static final double SILENT_SHARE = 0.8;
+
   /** One error is evidence enough where errors are rare: gateways see few outcomes of a host. */
   private static final double EJECT_FAILURES = 0.9;
 
@@ -64,7 +67,7 @@
 
   double lingerMs;
   private final Map<String, Host> byId = new LinkedHashMap<>();
-  private Host[] all = new Host[0];
+  Host[] all = new Host[0];
   final ColdStart coldStart;
   private double[] classLatency = new double[0];
   private double[] classWork = new double[0];
@@ -90,10 +93,6 @@
     lingerMs = Math.max(LINGER_MS, part * next.limits().idleConnectionMs());
   }
 
-  Host[] all() {
-    return all;
-  }
-
   void apply(MembersUpdate update, double now) {
     if (update.kind() == MembersUpdate.Kind.FAILED) {
       return;
@@ -148,6 +147,10 @@
         eject(h, FULL_SHARE, now);
       }
     } else {
+      double silentMs = Math.max(elapsedMs, QUIET_PART * p.type.aimMs());
+      boolean zone = ring.stream().anyMatch(o -> o.zone == h.zone && now - o.heardAt < silentMs);
+      boolean any = ring.stream().anyMatch(o -> now - o.heardAt < EJECT_MS);
+      double share = any && !zone ? SILENT_SHARE : EJECT_SHARE;
       h.failures += result == Result.TIMEOUT ? TIMEOUT_EVIDENCE : 1;
       if (result == Result.TIMEOUT
           && h.heardAt <= a.sentAt()
@@ -155,12 +158,12 @@
           && elapsedMs >= p.type.aimMs()) {
         // Not a word all that time, to nobody: it hangs, and an empty count would draw in more.
         h.ejections = 0;
-        eject(h, EJECT_SHARE, now);
+        eject(h, share, now);
       } else if (h.failures >= EJECT_FAILURES && h.failures > h.attempts * EJECT_RATE) {
         if (result == Result.ERROR) {
           h.erringUntil = now + ERRING_MS;
         } else {
-          eject(h, EJECT_SHARE, now);
+          eject(h, share, now);
         }
       }
     }
--- a/src/main/java/ternscale/policy/LcStarBalancer.java
+++ b/src/main/java/ternscale/policy/LcStarBalancer.java
@@ -83,7 +83,13 @@
     }
     if (now - sweptAt > hosts.lingerMs / 4) {
       sweptAt = now;
-      closeIdle(now);
+      // Incident i59fa1d: no host of use left, as idle connections had filled their tables.
+      for (Host h : hosts.ring) {
+        if (h.connectedAt > 0 && h.inFlight == 0 && now - h.connectedAt > hosts.lingerMs) {
+          h.connectedAt = 0;
+          actions.closeIdle(h.id);
+        }
+      }
       coldStart.census(hosts.ring, now);
     }
     selector.onRequest(request.key(), requests.size());
@@ -216,16 +222,6 @@
     }
   }
 
-  /** Incident i59fa1d: no host of use left, as idle connections had filled their tables. */
-  private void closeIdle(double now) {
-    for (Host h : hosts.ring) {
-      if (h.connectedAt > 0 && h.inFlight == 0 && now - h.connectedAt > hosts.lingerMs) {
-        h.connectedAt = 0;
-        actions.closeIdle(h.id);
-      }
-    }
-  }
-
   /** Past this nothing is worth starting; what waited to be read waits as long to be answered. */
   private double giveUpAt(Pending p) {
     double last = p.info.deadline() - 2 * settings.tickMs();
--- a/src/main/java/ternscale/policy/Selector.java
+++ b/src/main/java/ternscale/policy/Selector.java
@@ -102,7 +102,7 @@
       refresh(now);
     }
     keptSince = settings.prices().handshake() > 0 ? now - hosts.lingerMs : now;
-    Host[] all = hosts.all();
+    Host[] all = hosts.all;
     if (tied.length < all.length) {
       tied = new Host[all.length];
       score = new double[all.length];
@@ -152,7 +152,7 @@
       double turn = settings.me() * GOLDEN + (double) i / size;
       ring.get((int) ((turn - Math.floor(turn)) * ring.size())).inSubset = true;
     }
-    subset = Arrays.stream(hosts.all()).filter(h -> h.inSubset).toArray(Host[]::new);
+    subset = Arrays.stream(hosts.all).filter(h -> h.inSubset).toArray(Host[]::new);
   }
 
   private int keepSubset(int n) {
--- a/src/test/java/ternscale/policy/ChurnTest.java
+++ b/src/test/java/ternscale/policy/ChurnTest.java
@@ -33,7 +33,7 @@
                   Gateway.host("h" + i, 0, Availability.UP, i))),
           i);
     }
-    assertThat(table.all()).extracting(h -> h.id).containsExactly("h999");
+    assertThat(table.all).extracting(h -> h.id).containsExactly("h999");
   }
 
   @Test
