Say of each answer that leaves late why: stood still, unread, left open or unexplained

A front now says when an answer has left (Intake.onAnswerLeft). No allocation a request; the reason is a pure function (LateAnswer).

HostTest.aFrozenOne failed once on a machine with load 15: its job of 20 ms was over before the freeze came. It takes 1 s of work now, and the silence that is waited out is longer than that.

--- a/src/main/java/hazelspoke/core/Dispatcher.java
+++ b/src/main/java/hazelspoke/core/Dispatcher.java
@@ -150,6 +150,7 @@
   @Override
   public void onRequest(Exchange x) {
     double now = clock.nowMs();
+    x.lostBefore = lag.lostMs();
     RequestInfo info = x.taken(Long.toString(taken++), now, lag.waitedMs());
     owed++;
     meter.taken();
@@ -166,6 +167,21 @@
     decide(x, () -> balancer.onRequest(clock.nowMs(), info));
   }
 
+  @Override
+  public void onAnswerLeft(Exchange x) {
+    double lateMs = clock.nowMs() - x.deadline;
+    if (lateMs > LateAnswer.SLACK_MS) {
+      double lostMs = lag.lostMs() - x.lostBefore;
+      LateAnswer why = LateAnswer.of(lateMs, x.decidedAt - x.deadline, lostMs, x.leftOpen);
+      meter.late(why);
+      log.line(
+          "the answer to request %s left %.0f ms after its deadline, %s; lost here %.0f ms, "
+                  .formatted(x.id, lateMs, why.words(), lostMs)
+              + "the longest turn ever %.0f ms, attempts %d"
+                  .formatted(lag.longestMs(), x.attempts.size()));
+    }
+  }
+
   @Override
   public void onWhole(Exchange x) {
     if (x.ended) {
@@ -212,6 +228,7 @@
 
   private void answer(Exchange x, Answer answer) {
     if (!x.ended) {
+      x.decidedAt = clock.nowMs();
       Client client = x.client();
       int requestClass = x.request().requestClass();
       end(x);
@@ -321,6 +338,7 @@
     @Override
     void due() {
       log.line("request " + x.id + " was left without an answer");
+      x.leftOpen = true;
       abandon(x);
     }
   }
--- a/src/main/java/hazelspoke/core/Exchange.java
+++ b/src/main/java/hazelspoke/core/Exchange.java
@@ -26,6 +26,15 @@
   /** What fails it should the module forget it; null before it is taken. */
   Deadlines.Entry overdue;
 
+  /** What the loop had lost in all when the request came, in milliseconds. */
+  double lostBefore;
+
+  /** When its answer was decided. */
+  double decidedAt;
+
+  /** Whether it was ended as overdue. */
+  boolean leftOpen;
+
   /** Whether the client was answered or has gone: nothing more may be said or sent for it. */
   boolean ended;
 
--- a/src/main/java/hazelspoke/core/Intake.java
+++ b/src/main/java/hazelspoke/core/Intake.java
@@ -17,6 +17,12 @@
    */
   void onWhole(Exchange exchange);
 
+  /**
+   * The answer to a request has left for its client, or cannot any more as the client is gone. Of
+   * use to whoever watches how late answers leave; harmless for any request.
+   */
+  void onAnswerLeft(Exchange exchange);
+
   /** Whether a request with this id of a client's is still owed its answer. */
   boolean isOpen(String txn);
 }
--- a/src/main/java/hazelspoke/core/LoopLag.java
+++ b/src/main/java/hazelspoke/core/LoopLag.java
@@ -16,6 +16,7 @@
   private double due;
   private double last;
   private double lost;
+  private double longest;
 
   LoopLag(EventLoop loop, Clock clock) {
     this.clock = clock;
@@ -26,6 +27,7 @@
   private void tick() {
     last = behind();
     lost += last;
+    longest = Math.max(longest, last);
     due = clock.nowMs() + TICK_MS;
   }
 
@@ -38,6 +40,11 @@
     return lost + behind();
   }
 
+  /** The longest that the loop has been late so far, in milliseconds. */
+  double longestMs() {
+    return Math.max(longest, behind());
+  }
+
   /**
    * How long what is read now has waited: since this turn began for certain, and for a part of the
    * turn before, in which it came.
--- a/src/main/java/hazelspoke/core/Meter.java
+++ b/src/main/java/hazelspoke/core/Meter.java
@@ -19,6 +19,9 @@
 
         @Override
         public void sent() {}
+
+        @Override
+        public void late(LateAnswer why) {}
       };
 
   /** A request was taken: it is owed an answer from now on. */
@@ -32,4 +35,7 @@
 
   /** An attempt was written whole to a host. */
   void sent();
+
+  /** An answer left after its client had stopped waiting. */
+  void late(LateAnswer why);
 }
--- a/src/main/java/hazelspoke/core/package-info.java
+++ b/src/main/java/hazelspoke/core/package-info.java
@@ -19,7 +19,8 @@
  *     hazelspoke.core.Intake#onClientGone onClientGone}, once</td><td>{@link
  *     hazelspoke.core.Client#answer answer}, once, also before {@code onRequest} returns</td>
  *     <td>answered, or gone</td></tr>
- * <tr><td>answered</td><td>{@code onClientGone} does nothing</td><td>nothing</td><td></td></tr>
+ * <tr><td>answered</td><td>{@link hazelspoke.core.Intake#onAnswerLeft onAnswerLeft}, once it is
+ *     written or cannot be; {@code onClientGone} does nothing</td><td>nothing</td><td></td></tr>
  * <tr><td>gone</td><td>nothing</td><td>nothing</td><td></td></tr>
  * </table>
  *
--- a/src/main/java/hazelspoke/front/http/ClientConnection.java
+++ b/src/main/java/hazelspoke/front/http/ClientConnection.java
@@ -76,6 +76,10 @@
   private boolean keepAlive;
   private boolean health;
   private Exchange exchange;
+
+  /** What the answer that is being written answers; null with the gateway's own words to none. */
+  private Exchange answering;
+
   private BodyWriter writer;
   private ByteBudget.Share answerShare;
   private int lingerBytes;
@@ -398,6 +402,7 @@
   }
 
   private void write(HeadWriter head, Body body) {
+    answering = exchange;
     exchange = null;
     passing = null;
     enter(State.ANSWERING);
@@ -438,6 +443,7 @@
   private void answerWritten(Future<? super Void> written) {
     writer = null;
     releaseAnswer();
+    answerLeft();
     if (!written.isSuccess()) {
       close();
     } else if (keepAlive) {
@@ -504,6 +510,7 @@
       unfinished.abandon();
     }
     releaseAnswer();
+    answerLeft();
     dropAhead();
     if (state == State.IN_HAND && exchange != null) {
       server.clientGone(exchange);
@@ -520,6 +527,14 @@
     }
   }
 
+  private void answerLeft() {
+    if (answering != null) {
+      Exchange left = answering;
+      answering = null;
+      server.answerLeft(left);
+    }
+  }
+
   /** Forgets a request that was not taken on. */
   private void dropExchange() {
     if (exchange != null) {
--- a/src/main/java/hazelspoke/front/http/ClientServer.java
+++ b/src/main/java/hazelspoke/front/http/ClientServer.java
@@ -298,6 +298,11 @@
     intake.onClientGone(exchange);
   }
 
+  /** The answer to a request that was taken has left, or its connection has ended before that. */
+  void answerLeft(Exchange exchange) {
+    intake.onAnswerLeft(exchange);
+  }
+
   /**
    * The gateway is unready, and goes on serving: who has a connection may use it to the end, as the
    * others may be busy or away themselves. At the end all come to the others at once.
--- a/src/main/java/hazelspoke/operations/Figures.java
+++ b/src/main/java/hazelspoke/operations/Figures.java
@@ -4,9 +4,12 @@
 import com.codahale.metrics.Gauge;
 import com.codahale.metrics.MetricRegistry;
 import hazelspoke.core.Answer;
+import hazelspoke.core.LateAnswer;
 import hazelspoke.core.Meter;
 import java.util.ArrayList;
+import java.util.EnumMap;
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
 
 /**
@@ -33,6 +36,7 @@
   private final Counter loads = registry.counter("loads");
   private final Counter loadErrors = registry.counter("load_errors");
   private final List<OfClass> classes = new ArrayList<>();
+  private final Map<LateAnswer, Counter> late = new EnumMap<>(LateAnswer.class);
   private volatile int knownHosts;
   private volatile int skippedHosts;
 
@@ -40,6 +44,9 @@
   public Figures(List<String> classNames) {
     registry.register("known_hosts", (Gauge<Integer>) () -> knownHosts);
     registry.register("skipped_hosts", (Gauge<Integer>) () -> skippedHosts);
+    for (LateAnswer why : LateAnswer.values()) {
+      late.put(why, registry.counter("late." + why.name().toLowerCase(Locale.ROOT)));
+    }
     nameClasses(classNames);
   }
 
@@ -76,6 +83,11 @@
     tries.inc();
   }
 
+  @Override
+  public void late(LateAnswer why) {
+    late.get(why).inc();
+  }
+
   /** Counts a file of new settings, taken or turned down. */
   public void loaded(boolean good) {
     (good ? loads : loadErrors).inc();
--- a/src/test/java/hazelspoke/core/CoreTest.java
+++ b/src/test/java/hazelspoke/core/CoreTest.java
@@ -298,6 +298,58 @@
     assertThat(rig.ask().answers).isEmpty();
   }
 
+  /** Each reason has its own cause here, and an answer in time has none. */
+  @Test
+  void anAnswerThatLeavesLateSaysWhy() {
+    CoreRig rig = new CoreRig(100, Plain::new);
+    CoreRig.Asker inTime = rig.ask();
+    rig.calls.get(0).end(Result.OK);
+    rig.dispatcher.onAnswerLeft(inTime.exchange);
+    assertThat(rig.log.toString()).isEmpty();
+
+    CoreRig.Asker unread = rig.ask();
+    rig.calls.get(0).end(Result.OK);
+    rig.pass((long) CoreRig.DEADLINE_MS + 700);
+    rig.dispatcher.onAnswerLeft(unread.exchange);
+    assertThat(rig.log.toString()).contains("left 700 ms after", LateAnswer.UNREAD.words());
+
+    rig.log.reset();
+    CoreRig.Asker stalled = rig.ask();
+    rig.ticker.advanceMillis((long) CoreRig.DEADLINE_MS + 500);
+    rig.turn();
+    assertThat(stalled.answers).hasSize(1);
+    rig.dispatcher.onAnswerLeft(stalled.exchange);
+    assertThat(rig.log.toString()).contains("left 500 ms after", LateAnswer.STOOD_STILL.words());
+
+    rig.log.reset();
+    CoreRig.Asker shared = rig.ask();
+    rig.ticker.advanceMillis(60);
+    rig.turn();
+    rig.pass((long) CoreRig.DEADLINE_MS + 600);
+    rig.dispatcher.onAnswerLeft(shared.exchange);
+    assertThat(rig.log.toString()).as("60 ms explain none of 660").contains("did not take it");
+  }
+
+  @Test
+  void whatTheModuleForgetsIsEndedRightAfterItsDeadlineAndSaidOnceItLeaves() {
+    CoreRig rig =
+        new CoreRig(
+            100,
+            actions ->
+                new Plain(actions) {
+                  @Override
+                  public void onRequest(double now, RequestInfo request) {}
+                });
+    CoreRig.Asker forgotten = rig.ask();
+    rig.pass((long) (CoreRig.DEADLINE_MS + Dispatcher.OVERDUE_MS) + 1);
+    assertThat(forgotten.answers).hasSize(1);
+    rig.dispatcher.onAnswerLeft(forgotten.exchange);
+    assertThat(rig.log.toString()).contains("was left without an answer").doesNotContain("left 1");
+    rig.pass(200);
+    rig.dispatcher.onAnswerLeft(forgotten.exchange);
+    assertThat(rig.log.toString()).contains(LateAnswer.LEFT_OPEN.words());
+  }
+
   private static void awaitCleared(List<WeakReference<?>> left) throws InterruptedException {
     long end = System.nanoTime() + PATIENCE_MS * 1_000_000;
     while (left.stream().anyMatch(reference -> reference.get() != null)) {
--- a/src/test/java/hazelspoke/emulator/net/HostTest.java
+++ b/src/test/java/hazelspoke/emulator/net/HostTest.java
@@ -321,12 +321,13 @@
     try (Socket before = connect();
         Socket during = connect();
         Socket left = connect()) {
-      String first = send(before, 20);
+      String first = send(before, 1_000);
       awaitHeld(1);
       onLoop(host::freeze);
       String second = send(during, 1);
       String gone = send(left, 1);
-      before.setSoTimeout(400);
+      // Longer than its work takes, which goes on behind the silence.
+      before.setSoTimeout(1_300);
       assertThatThrownBy(() -> receive(before)).isInstanceOf(SocketTimeoutException.class);
       // As much as came: the one before, behind the silence, and two that wait to be looked at.
       awaitHeld(3);
--- a/src/test/java/hazelspoke/node/OperationsTest.java
+++ b/src/test/java/hazelspoke/node/OperationsTest.java
@@ -57,6 +57,24 @@
     }
   }
 
+  /** The client reads nothing until its time is over: the answer was ready, and left late. */
+  @Test
+  void anAnswerThatItsClientTakesLateIsCountedWithTheReason() throws Exception {
+    String large = FakeServer.ok("x".repeat(16 << 20));
+    try (FakeServer host = new FakeServer((head, out) -> FakeServer.answer(out, large));
+        FakeServer discovery = Rig.discovery(Rig.list(1, host));
+        Rig rig = new Rig(160, discovery, host);
+        Socket slow = rig.connect()) {
+      Rig.send(slow, Rig.dispatch(Rig.id(), "").replace("20.0", "0.5"));
+      Rig.await("its answer has begun", () -> rig.figure("passed.dispatch") == 1);
+      Thread.sleep(700);
+      assertThat(Rig.receive(slow)).contains(" 200 ");
+      Rig.await("it is counted", () -> rig.figure("late.unread") == 1);
+      assertThat(rig.figure("late.unexplained") + rig.figure("late.left_open")).isZero();
+      assertThat(rig.log.toString()).contains("did not take it");
+    }
+  }
+
   private static String waits() {
     return Rig.dispatch(Rig.id(), "").replace("/dispatch ", "/dispatch/wait ");
   }
