Put faults between processes: links through relays, torment draws them and finds those needed

Need: the fleet's processes are to agree while parts fail, and nothing here could put a fault between two of them.

A relay on loopback stands for each pair of a gateway and a server (hazelspoke.emulator.net.Link): bytes, ends and resets are passed on as what they are, each direction by itself, or not; its door does what the server's does. Scripts have link_cut, link_silent, link_mute, link_deaf, link_slow, link_lossy, link_flapping, link_reset and link_half_open; without one of them nothing changes and no relay is there. bin/pumicetray torment starts the gateways as processes, draws faults from a seed (FaultDraw), and shrinks those of a broken play (ddmin) to a script that rehearse plays. The page has a lane a process. Whoever interrupts the emulator leaves no gateway behind.

TormentTest fails with a DRAIN breach when hosts go by their own clock (seen).

--- a/src/main/java/hazelspoke/Commands.java
+++ b/src/main/java/hazelspoke/Commands.java
@@ -26,6 +26,7 @@
       DemoCommand.class,
       RehearseCommand.class,
       CompareCommand.class,
+      TormentCommand.class,
       BenchCommand.class,
       ServeCommand.class,
       AdapterCommand.class,
--- a/src/main/java/hazelspoke/emulator/model/Draws.java
+++ b/src/main/java/hazelspoke/emulator/model/Draws.java
@@ -34,7 +34,8 @@
     return (mix(mix(seed ^ mix(number)) ^ part) >>> 11) * UNIT;
   }
 
-  static double between(SplittableRandom random, double low, double high) {
+  /** Evenly drawn from {@code low} to below {@code high}. */
+  public static double between(SplittableRandom random, double low, double high) {
     return low + (high - low) * random.nextDouble();
   }
 
--- a/src/main/java/hazelspoke/emulator/model/Registry.java
+++ b/src/main/java/hazelspoke/emulator/model/Registry.java
@@ -43,6 +43,11 @@
       Status status,
       long sinceMs,
       long index) {
+    /** The same host as one is told who reaches it by another address. */
+    public Entry reachedAt(String other) {
+      return new Entry(name, other, zone, kind, group, status, sinceMs, index);
+    }
+
     Entry at(long version) {
       return new Entry(name, address, zone, kind, group, status, sinceMs, version);
     }
--- a/src/main/java/hazelspoke/emulator/model/World.java
+++ b/src/main/java/hazelspoke/emulator/model/World.java
@@ -10,6 +10,7 @@
 import java.util.HexFormat;
 import java.util.List;
 import java.util.SplittableRandom;
+import java.util.stream.IntStream;
 
 /**
  * All that a script and a seed fix before anything starts: the hosts, every request that will be
@@ -119,6 +120,13 @@
         }
       }
       case GATEWAYS -> out.addAll(target.names());
+      case LINKS -> {
+        for (String from : orAll(target.names(), "g", script.fleet().gateways())) {
+          for (String to : orAll(target.far(), "s", servers.size())) {
+            out.add(LinkName.of(from, to));
+          }
+        }
+      }
       default -> {
         // Strikes nobody by name.
       }
@@ -126,6 +134,12 @@
     return List.copyOf(out);
   }
 
+  private static List<String> orAll(List<String> names, String letter, int count) {
+    return names.isEmpty()
+        ? IntStream.rangeClosed(1, count).mapToObj(i -> letter + i).toList()
+        : names;
+  }
+
   private static String digest(
       List<ServerSpec> servers,
       List<Arrival> arrivals,
--- a/src/main/java/hazelspoke/emulator/net/Discovery.java
+++ b/src/main/java/hazelspoke/emulator/net/Discovery.java
@@ -51,6 +51,7 @@
   private final Stage stage;
   private final Ledger ledger;
   private final Registry registry;
+  private final Links links;
   private final CallQueue queue;
   private final boolean asked;
   private final double mustAskMs;
@@ -58,13 +59,20 @@
   private boolean down;
 
   /**
+   * @param links by which gateways reach hosts; null where they call them directly
    * @param mustAskMs a gateway that has neither watched nor asked for this long counts as told
    */
   public Discovery(
-      Stage stage, Ledger ledger, Registry registry, Script.Discovery script, double mustAskMs) {
+      Stage stage,
+      Ledger ledger,
+      Registry registry,
+      Links links,
+      Script.Discovery script,
+      double mustAskMs) {
     this.stage = stage;
     this.ledger = ledger;
     this.registry = registry;
+    this.links = links;
     this.mustAskMs = mustAskMs;
     asked = script.mode() == Script.Mode.ASKED;
     queue = new CallQueue(asked ? script.linesPerS() : 0, script.callLines(), script.timeoutMs());
@@ -154,10 +162,15 @@
   }
 
   private void write(Desk desk, Channel watch, List<Entry> entries, boolean whole) {
-    watch.writeAndFlush(chunk(json(registry.index(), whole, entries) + "\n"));
+    watch.writeAndFlush(chunk(json(desk.gateway, whole, entries) + "\n"));
     heard(desk, entries, whole);
   }
 
+  private String json(int gateway, boolean whole, List<Entry> entries) {
+    List<Entry> seen = links == null ? entries : links.seenBy(gateway, entries);
+    return json(registry.index(), whole, seen);
+  }
+
   /** The list as discovery writes it. */
   public static String json(long index, boolean whole, List<Entry> entries) {
     StringBuilder out = new StringBuilder(64 + 160 * entries.size());
@@ -315,7 +328,7 @@
         write(desk, channel, entries, whole);
       } else {
         channel.writeAndFlush(
-            Wire.answer(HttpResponseStatus.OK, json(registry.index(), true, entries)));
+            Wire.answer(HttpResponseStatus.OK, json(desk.gateway, true, entries)));
         heard(desk, entries, true);
       }
     }
--- a/src/main/java/hazelspoke/emulator/net/Host.java
+++ b/src/main/java/hazelspoke/emulator/net/Host.java
@@ -4,6 +4,7 @@
 import hazelspoke.emulator.model.ColdGuard;
 import hazelspoke.emulator.model.Draws;
 import hazelspoke.emulator.model.Job;
+import hazelspoke.emulator.model.LinkState.Door;
 import hazelspoke.emulator.model.RepeatMemory;
 import hazelspoke.emulator.model.ServerSpec;
 import hazelspoke.emulator.model.StockServer;
@@ -69,6 +70,7 @@
   private final InetSocketAddress address;
   private Channel listener;
   private BlackHole blackHole;
+  private Way way = Way.NONE;
   private StockServer server;
   private ColdGuard guard;
   private ScheduledFuture<?> wake;
@@ -129,6 +131,11 @@
     report(server);
   }
 
+  /** From now on its callers come by this; before it is started. */
+  void callersComeBy(Way between) {
+    way = between;
+  }
+
   /**
    * The system may hold the address of a listener that was closed on this same turn of the loop
    * until the next one: then it is tried again.
@@ -154,7 +161,9 @@
             .bind(address)
             .addListener(
                 done -> {
-                  if (!done.isSuccess() && tries > 0) {
+                  if (done.isSuccess()) {
+                    way.door(up && listener != null ? Door.OPEN : Door.REFUSING);
+                  } else if (tries > 0) {
                     StockServer of = server;
                     stage.at(
                         stage.now() + BIND_AGAIN_MS,
@@ -163,7 +172,7 @@
                             listen(tries - 1);
                           }
                         });
-                  } else if (!done.isSuccess()) {
+                  } else {
                     stage.fail(name + " cannot listen at " + address, done.cause());
                   }
                 })
@@ -237,6 +246,7 @@
     }
     try {
       blackHole = new BlackHole(address);
+      way.door(Door.SILENT);
     } catch (IOException e) {
       if (tries == 0) {
         stage.fail(name + " cannot vanish from " + address, e);
@@ -271,6 +281,7 @@
   }
 
   private void closeListener() {
+    way.door(Door.REFUSING);
     if (listener != null) {
       listener.close();
       listener = null;
@@ -531,7 +542,8 @@
               : request.uri().substring(query + 1).replace('&', ' ');
       double workMs = Wire.figure(body, "work_ms");
       double number = Wire.figure(body, "order");
-      HostSink.Attempt attempt = sink.received(txn, name, spec.group(), now, stage.earliest());
+      double earliest = way.earliest(channel.remoteAddress(), stage.earliest());
+      HostSink.Attempt attempt = sink.received(txn, name, spec.group(), now, earliest);
       if (Double.isNaN(workMs) || Double.isNaN(number)) {
         attempt.end(AttemptEnd.ERROR, now);
         channel.writeAndFlush(Wire.answer(HttpResponseStatus.BAD_REQUEST, ""));
--- /dev/null
+++ b/src/main/java/hazelspoke/emulator/net/Links.java
@@ -0,0 +1,78 @@
+package hazelspoke.emulator.net;
+
+import hazelspoke.emulator.model.LinkName;
+import hazelspoke.emulator.model.LinkState.Door;
+import hazelspoke.emulator.model.Registry.Entry;
+import java.io.IOException;
+import java.net.SocketAddress;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+/**
+ * A relay of its own on loopback for every pair of a gateway and a host, so that a fault can be put
+ * between any two of them without any rights on the machine. Each gateway is told the addresses of
+ * its own relays. All on the stage's loop, whose clock then says when a gateway sent what a host
+ * has read, however long it was under way.
+ */
+public final class Links implements AutoCloseable {
+  private static final int NET = 76;
+
+  private final Stage stage;
+  private final int gateways;
+  private final Map<String, Link> byName = new HashMap<>();
+  private final Map<String, List<Link>> byHost = new HashMap<>();
+  private final Map<SocketAddress, Link.Passage> passages = new HashMap<>();
+
+  /** One with no host joined yet, for gateways {@code g1} to {@code g<gateways>}. */
+  public Links(Stage stage, int gateways) {
+    this.stage = stage;
+    this.gateways = gateways;
+  }
+
+  /** Puts a relay between each gateway and this host, which is not up yet. */
+  public void join(Host host) throws IOException {
+    List<Link> links = new ArrayList<>();
+    for (int g = 0; g < gateways; g++) {
+      Link link =
+          new Link(stage, Ports.free(NET, byName.size()), host.address(), passages, host.name());
+      byName.put("g" + (g + 1) + ">" + host.name(), link);
+      links.add(link);
+    }
+    byHost.put(Ports.text(host.address()), links);
+    host.callersComeBy(
+        new Way() {
+          @Override
+          public void door(Door door) {
+            links.forEach(link -> link.hostDoor(door));
+          }
+
+          @Override
+          public double earliest(SocketAddress caller, double now) {
+            Link.Passage passage = passages.get(caller);
+            return passage == null ? now : passage.lastSentAt();
+          }
+        });
+  }
+
+  /** The way from a gateway to a host; the host by the name under which it was drawn. */
+  public Link link(LinkName name) {
+    return byName.get(name.from() + ">" + name.to());
+  }
+
+  /** The list as one gateway is told it: with the addresses of its own ways. */
+  public List<Entry> seenBy(int gateway, List<Entry> entries) {
+    return entries.stream().map(e -> seenBy(gateway, e)).toList();
+  }
+
+  private Entry seenBy(int gateway, Entry e) {
+    List<Link> links = byHost.get(e.address());
+    return links == null ? e : e.reachedAt(Ports.text(links.get(gateway).address()));
+  }
+
+  @Override
+  public void close() {
+    byName.values().forEach(Link::close);
+  }
+}
--- a/src/main/java/hazelspoke/emulator/report/HtmlReport.java
+++ b/src/main/java/hazelspoke/emulator/report/HtmlReport.java
@@ -76,6 +76,7 @@
         r.hosts().size(), r.gateways().size(), r.script().lengthMs() / MS, r.seed(), r.digest());
     verdict();
     timeline();
+    lanes();
     outcomes();
     latencies();
     queues();
@@ -143,6 +144,53 @@
     page.append(plot.done());
   }
 
+  /** A lane a process, where something was wrong with gateways or between processes. */
+  private void lanes() {
+    if (r.lanes().stream().allMatch(lane -> lane.spans().isEmpty())) {
+      return;
+    }
+    add(
+        "<h2>Each process</h2><p class='soft'>"
+            + "<span class='key' style='background:#b3261e'></span>did not run or serve"
+            + " <span class='key' style='background:#d9a514'></span>struck by something else"
+            + " <span class='key' style='background:#4a74c9'></span>its way to others; point at"
+            + " one to read what and to whom</p>");
+    int rows = r.lanes().size();
+    Plot plot = new Plot(ROW * rows + 44, r.script().lengthMs(), 1);
+    plot.time();
+    for (int i = 0; i < rows; i++) {
+      Lanes.Lane lane = r.lanes().get(i);
+      int top = 16 + ROW * i;
+      plot.add(
+          "<text class='name' text-anchor='end' x='54' y='%d'>%s</text>",
+          top + ROW - 8, Html.escape(lane.process()));
+      plot.add(
+          "<line class='grid' x1='%.1f' x2='%.1f' y1='%d' y2='%d'/>",
+          plot.x(0), plot.x(r.script().lengthMs()), top + ROW - 2, top + ROW - 2);
+      for (Lanes.Span span : lane.spans()) {
+        double from = plot.x(span.fromMs());
+        plot.add(
+            "<rect fill='%s' fill-opacity='.55' rx='2' x='%.1f' y='%d' width='%.1f' height='%d'>"
+                + "<title>%s</title></rect>",
+            colour(span.kind()),
+            from,
+            top + (span.kind() == Lanes.Kind.LINK ? ROW / 2 - 2 : 0),
+            Math.max(3, plot.x(span.toMs()) - from),
+            ROW / 2 - 2,
+            Html.escape(lane.process() + ": " + span.what()));
+      }
+    }
+    page.append(plot.done());
+  }
+
+  private static String colour(Lanes.Kind kind) {
+    return switch (kind) {
+      case OUT -> "#b3261e";
+      case ILL -> "#d9a514";
+      case LINK -> "#4a74c9";
+    };
+  }
+
   private void outcomes() {
     add("<h2>What became of the requests</h2><p class='soft'>By the second in which they were due");
     for (Part part : PARTS) {
--- a/src/main/java/hazelspoke/emulator/report/Results.java
+++ b/src/main/java/hazelspoke/emulator/report/Results.java
@@ -30,6 +30,7 @@
     Late late,
     List<GatewayResult> gateways,
     List<FaultNote> faults,
+    List<Lanes.Lane> lanes,
     List<String> hosts,
     List<int[]> queues,
     long attempts,
--- a/src/main/java/hazelspoke/emulator/run/Faults.java
+++ b/src/main/java/hazelspoke/emulator/run/Faults.java
@@ -3,6 +3,7 @@
 import hazelspoke.emulator.model.Registry;
 import hazelspoke.emulator.model.World;
 import hazelspoke.emulator.net.Discovery;
+import hazelspoke.emulator.net.Links;
 import hazelspoke.emulator.net.Stage;
 import hazelspoke.emulator.net.StockHost;
 import hazelspoke.emulator.script.Fault;
@@ -16,6 +17,7 @@
   private final World world;
   private final Fleet fleet;
   private final Gateways gateways;
+  private final LinkFaults links;
   private final Discovery discovery;
   private final Registry registry;
   private final Consumer<String> progress;
@@ -25,6 +27,7 @@
       World world,
       Fleet fleet,
       Gateways gateways,
+      Links links,
       Discovery discovery,
       Registry registry,
       Consumer<String> progress) {
@@ -32,6 +35,7 @@
     this.world = world;
     this.fleet = fleet;
     this.gateways = gateways;
+    this.links = new LinkFaults(stage, links);
     this.discovery = discovery;
     this.registry = registry;
     this.progress = progress;
@@ -71,6 +75,7 @@
     switch (fault.kind().subject()) {
       case HOSTS -> struck.forEach(name -> begin(fault, fleet.host(name), base));
       case GATEWAYS -> struck.forEach(name -> begin(fault, gateways.gate(name)));
+      case LINKS -> struck.forEach(name -> links.begin(fault, name, base + fault.endMs()));
       case SITE -> {
         for (String name : struck) {
           if (name.startsWith("g") && fault.silent()) {
@@ -152,6 +157,7 @@
           }
         }
       }
+      case LINKS -> struck.forEach(name -> links.end(fault, name));
       case SITE -> {
         for (String name : struck) {
           if (name.startsWith("g")) {
--- a/src/main/java/hazelspoke/emulator/run/Fleet.java
+++ b/src/main/java/hazelspoke/emulator/run/Fleet.java
@@ -9,6 +9,7 @@
 import hazelspoke.emulator.model.World;
 import hazelspoke.emulator.net.Host;
 import hazelspoke.emulator.net.LedgerSink;
+import hazelspoke.emulator.net.Links;
 import hazelspoke.emulator.net.Ports;
 import hazelspoke.emulator.net.Stage;
 import hazelspoke.emulator.net.StockHost;
@@ -36,7 +37,7 @@
   private final Map<StockHost, Entry> listed = new LinkedHashMap<>();
   private int replaced;
 
-  Fleet(Stage stage, World world, Ledger ledger, Registry registry, ApartHosts apart)
+  Fleet(Stage stage, World world, Ledger ledger, Registry registry, Links links, ApartHosts apart)
       throws IOException {
     this.stage = stage;
     this.script = world.script();
@@ -52,12 +53,26 @@
       StockHost host =
           script.fleet().apart().contains(spec.name())
               ? apart.host(stage, spec, address, ledger)
-              : new Host(
-                  stage, spec, address, rules, repeats.get(spec.site()), new LedgerSink(ledger));
+              : joined(
+                  links,
+                  new Host(
+                      stage,
+                      spec,
+                      address,
+                      rules,
+                      repeats.get(spec.site()),
+                      new LedgerSink(ledger)));
       hosts.put(spec.name(), host);
     }
   }
 
+  private static Host joined(Links links, Host host) throws IOException {
+    if (links != null) {
+      links.join(host);
+    }
+    return host;
+  }
+
   static Host.Rules rules(World world, double fallMultiple) {
     Script.Fleet fleet = world.script().fleet();
     return new Host.Rules(
--- a/src/main/java/hazelspoke/emulator/run/Gateways.java
+++ b/src/main/java/hazelspoke/emulator/run/Gateways.java
@@ -5,6 +5,7 @@
 import hazelspoke.emulator.model.Registry;
 import hazelspoke.emulator.model.World;
 import hazelspoke.emulator.net.Discovery;
+import hazelspoke.emulator.net.Links;
 import hazelspoke.emulator.net.Ports;
 import hazelspoke.emulator.net.Seat;
 import hazelspoke.emulator.net.Stage;
@@ -51,6 +52,7 @@
   private final Ledger ledger;
   private final Registry registry;
   private final Discovery discovery;
+  private final Links links;
   private final GatewayLauncher launcher;
   private final Path folder;
   private final List<Gate> gates = new ArrayList<>();
@@ -93,6 +95,7 @@
       Ledger ledger,
       Registry registry,
       Discovery discovery,
+      Links links,
       GatewayLauncher launcher,
       Path folder)
       throws IOException {
@@ -101,6 +104,7 @@
     this.ledger = ledger;
     this.registry = registry;
     this.discovery = discovery;
+    this.links = links;
     this.launcher = launcher;
     this.folder = folder;
     for (int i = 0; i < world.gatewaySites().size(); i++) {
@@ -158,7 +162,7 @@
             gate.discovery,
             Draws.mix(world.seed() + 1_000L * i + gate.starts),
             registry.index(),
-            registry.all());
+            links == null ? registry.all() : links.seenBy(i, registry.all()));
     try {
       Path fresh = Files.createTempFile(folder, "config", ".json");
       Files.writeString(fresh, text);
--- a/src/main/java/hazelspoke/emulator/run/OsProcess.java
+++ b/src/main/java/hazelspoke/emulator/run/OsProcess.java
@@ -9,8 +9,13 @@
 
   private final Process process;
 
+  /** Who interrupts the emulator leaves no gateway behind. */
+  private final Thread ending;
+
   OsProcess(Process process) {
     this.process = process;
+    ending = new Thread(process::destroyForcibly, "end " + process.pid());
+    Runtime.getRuntime().addShutdownHook(ending);
   }
 
   @Override
@@ -47,6 +52,11 @@
   @Override
   public void close() {
     process.destroyForcibly();
+    try {
+      Runtime.getRuntime().removeShutdownHook(ending);
+    } catch (IllegalStateException e) {
+      // The emulator is ending, and this with it.
+    }
     try {
       process.waitFor(PATIENCE_S, TimeUnit.SECONDS);
     } catch (InterruptedException e) {
--- a/src/main/java/hazelspoke/emulator/run/ProcessGateways.java
+++ b/src/main/java/hazelspoke/emulator/run/ProcessGateways.java
@@ -21,14 +21,23 @@
    * @throws IOException when the deploy file there has no command line
    */
   public ProcessGateways(Path home, int sockets) throws IOException {
+    this(home, deployed(home.resolve("deploy/balancer.toml")), sockets);
+  }
+
+  /** Gateways by another command line, in this folder. */
+  ProcessGateways(Path home, String run, int sockets) {
     this.home = home;
+    this.run = run;
     this.sockets = sockets;
-    Path file = home.resolve("deploy/balancer.toml");
+  }
+
+  private static String deployed(Path file) throws IOException {
     TomlParseResult deploy = Toml.parse(Files.readString(file));
-    run = deploy.hasErrors() ? null : deploy.getString("run");
+    String run = deploy.hasErrors() ? null : deploy.getString("run");
     if (run == null) {
       throw new IOException(file + " has no command line named run");
     }
+    return run;
   }
 
   @Override
--- a/src/main/java/hazelspoke/emulator/run/Rehearsal.java
+++ b/src/main/java/hazelspoke/emulator/run/Rehearsal.java
@@ -10,9 +10,11 @@
 import hazelspoke.emulator.net.Clients;
 import hazelspoke.emulator.net.Discovery;
 import hazelspoke.emulator.net.Host;
+import hazelspoke.emulator.net.Links;
 import hazelspoke.emulator.net.Seat;
 import hazelspoke.emulator.net.Stage;
 import hazelspoke.emulator.net.StockHost;
+import hazelspoke.emulator.report.Lanes;
 import hazelspoke.emulator.report.Results;
 import hazelspoke.emulator.report.Tally;
 import hazelspoke.emulator.script.Fault;
@@ -63,6 +65,10 @@
   private final List<List<Samples.Sample>> samples = new ArrayList<>();
   private final CompletableFuture<Void> allDone = new CompletableFuture<>();
   private Fleet fleet;
+
+  /** Null where gateways call hosts directly. */
+  private Links links;
+
   private Gateways gateways;
   private double base;
   private int next;
@@ -92,11 +98,14 @@
    * @throws IllegalStateException when the emulator itself cannot go on
    */
   public Results run() throws IOException, InterruptedException {
+    if (script.faults().stream().anyMatch(f -> f.kind().subject() == Fault.Subject.LINKS)) {
+      links = new Links(stage, world.gatewaySites().size());
+    }
     Discovery discovery =
-        new Discovery(stage, ledger, registry, script.discovery(), ConfigFile.MUST_ASK_MS);
+        new Discovery(stage, ledger, registry, links, script.discovery(), ConfigFile.MUST_ASK_MS);
     try {
-      fleet = new Fleet(stage, world, ledger, registry, apart);
-      gateways = new Gateways(stage, world, ledger, registry, discovery, launcher, folder);
+      fleet = new Fleet(stage, world, ledger, registry, links, apart);
+      gateways = new Gateways(stage, world, ledger, registry, discovery, links, launcher, folder);
       onLoop(
           () -> {
             fleet.start();
@@ -128,6 +137,9 @@
       if (gateways != null) {
         gateways.close();
       }
+      if (links != null) {
+        onLoop(links::close);
+      }
       if (fleet != null) {
         onLoop(fleet::close);
       }
@@ -176,7 +188,7 @@
               script.fleet().sockets() / 3,
               this::ended));
     }
-    new Faults(stage, world, fleet, gateways, discovery, registry, this::note).plan(base);
+    new Faults(stage, world, fleet, gateways, links, discovery, registry, this::note).plan(base);
     stage.beat(beats::add);
     sample(0);
     tell(1);
@@ -290,6 +302,7 @@
         late,
         gatewayResults(),
         faults,
+        Lanes.of(world.gatewaySites().size(), script.faults(), world.struck(), ledger.outages()),
         fleet.all().stream().map(StockHost::name).toList(),
         queues,
         ledger.attemptCount(),
--- a/src/main/java/hazelspoke/emulator/script/Fault.java
+++ b/src/main/java/hazelspoke/emulator/script/Fault.java
@@ -67,7 +67,27 @@
     GATEWAY_KILL(Subject.GATEWAYS, true),
     /** SIGSTOP, and SIGCONT when the time is up. */
     GATEWAY_STOP(Subject.GATEWAYS, true),
-    GATEWAY_HUP(Subject.GATEWAYS, false);
+    GATEWAY_HUP(Subject.GATEWAYS, false),
+    /** Connections between the two are reset, and new ones refused. */
+    LINK_CUT(Subject.LINKS, true),
+    /** Packets vanish both ways: connections stay, and new ones never come up. */
+    LINK_SILENT(Subject.LINKS, true),
+    /** What the first says vanishes; what the second says arrives. */
+    LINK_MUTE(Subject.LINKS, true),
+    /** What the first says arrives; what the second says vanishes. */
+    LINK_DEAF(Subject.LINKS, true),
+    /** All bytes come {@code factor} milliseconds later, each way. */
+    LINK_SLOW(Subject.LINKS, true),
+    /**
+     * Nothing passes for {@code factor} milliseconds {@code every} so often, as when TCP resends.
+     */
+    LINK_LOSSY(Subject.LINKS, true),
+    /** Cut for {@code factor} milliseconds {@code every} so often. */
+    LINK_FLAPPING(Subject.LINKS, true),
+    /** What is open is reset at both ends. */
+    LINK_RESET(Subject.LINKS, false),
+    /** The second's ends of what is open are gone, and the first hears nothing of it. */
+    LINK_HALF_OPEN(Subject.LINKS, true);
 
     private final Subject subject;
     private final boolean lasts;
@@ -93,16 +113,25 @@
     SITE,
     LOAD,
     DISCOVERY,
-    GATEWAYS
+    GATEWAYS,
+    LINKS
   }
 
   /**
    * Which hosts or gateways: those named, or of the rest a share (0 to 1) of those of a kind and of
    * a site; null and empty where nothing is said.
+   *
+   * @param far of links: the hosts at their other ends; empty for all
    */
-  public record Target(List<String> names, double share, String kind, String site) {
+  public record Target(
+      List<String> names, double share, String kind, String site, List<String> far) {
     public Target {
       names = List.copyOf(names);
+      far = List.copyOf(far);
+    }
+
+    Target(List<String> names, double share, String kind, String site) {
+      this(names, share, kind, site, List.of());
     }
   }
 
--- a/src/main/java/hazelspoke/emulator/script/Script.java
+++ b/src/main/java/hazelspoke/emulator/script/Script.java
@@ -20,6 +20,38 @@
     faults = List.copyOf(faults);
   }
 
+  /** The same with other faults. */
+  public Script withFaults(List<Fault> others) {
+    return new Script(title, lengthMs, fleet, load, classes, discovery, judge, others);
+  }
+
+  /** The same, so long, with so many gateways, each a process of its own. */
+  public Script withProcesses(int gateways, double ms) {
+    Fleet f = fleet;
+    return new Script(
+        title,
+        ms,
+        new Fleet(
+            f.sites,
+            gateways,
+            f.servers,
+            f.large,
+            f.medium,
+            f.small,
+            false,
+            f.sockets,
+            f.memoryMb,
+            f.dropsCancelled,
+            f.dropsExpired,
+            f.coldMs,
+            f.apart),
+        load,
+        classes,
+        discovery,
+        judge,
+        faults);
+  }
+
   /** The same incident with other hosts in processes of their own. */
   public Script withApart(List<String> names) {
     Fleet f = fleet;
--- a/src/main/java/hazelspoke/emulator/script/ScriptReader.java
+++ b/src/main/java/hazelspoke/emulator/script/ScriptReader.java
@@ -48,7 +48,7 @@
     }
     Table root = new Table(file, "", result, 1);
     String title = root.text("title", file);
-    double lengthMs = MS * root.number("length_s", 1, LONGEST_S);
+    double lengthMs = millis(root.number("length_s", 1, LONGEST_S));
     Script.Fleet fleet = fleet(root.table("fleet"));
     Script.Load load = load(root.table("load"), lengthMs);
     List<Script.RequestClass> classes = classes(root.tables("class"), root);
@@ -86,7 +86,7 @@
             t.whole("memory_mb", 192, 32, 65_536),
             t.flag("drops_cancelled", true),
             t.flag("drops_expired", false),
-            MS * t.number("cold_s", 8.5, 0.01, 600),
+            millis(t.number("cold_s", 8.5, 0.01, 600)),
             t.texts("apart", List.of()));
     if (fleet.gateways() < sites.size()) {
       throw t.fail("gateways", "expected at least one for each of the " + sites.size() + " sites");
@@ -107,8 +107,8 @@
     for (Table s : t.tables("surge")) {
       surges.add(
           new Script.Surge(
-              MS * s.number("at_s", 0, LONGEST_S),
-              MS * s.number("for_s", 0.001, LONGEST_S),
+              millis(s.number("at_s", 0, LONGEST_S)),
+              millis(s.number("for_s", 0.001, LONGEST_S)),
               s.number("factor", 0, 100)));
       s.noOthers();
       most *= Math.max(1, surges.get(surges.size() - 1).factor());
@@ -170,9 +170,9 @@
     Script.Discovery discovery =
         new Script.Discovery(
             t.word("mode", Script.Mode.ASKED, Script.Mode.class),
-            MS * t.number("notice_s", 2, 0, 60),
-            MS * t.number("silent_notice_s", 9, 0, 120),
-            MS * t.number("add_s", 1.5, 0, 60),
+            millis(t.number("notice_s", 2, 0, 60)),
+            millis(t.number("silent_notice_s", 9, 0, 120)),
+            millis(t.number("add_s", 1.5, 0, 60)),
             t.number("lines_per_s", 0, 0, 1e9),
             t.number("call_lines", 40, 0, 1e6),
             t.number("timeout_ms", 1_000, 1, 60_000));
@@ -185,8 +185,8 @@
       throws ScriptException {
     t.require("what", "what goes wrong");
     Kind kind = t.word("what", null, Kind.class);
-    double atMs = MS * t.number("at_s", 0, lengthMs / MS);
-    double forMs = kind.lasts() ? MS * t.number("for_s", 0.001, LONGEST_S) : 0;
+    double atMs = millis(t.number("at_s", 0, lengthMs / MS));
+    double forMs = kind.lasts() ? millis(t.number("for_s", 0.001, LONGEST_S)) : 0;
     Subject subject = kind.subject();
     Target target = target(t, subject, fleet);
     double factor = 1;
@@ -203,8 +203,17 @@
         to = t.number("to", 0, 1);
       }
       case RESET -> to = t.number("rate", 0, 1);
+      case LINK_SLOW -> factor = t.number("delay_ms", 1, 60_000);
+      case LINK_LOSSY -> {
+        every = millis(t.number("every_s", 0.1, 600));
+        factor = t.number("burst_ms", 1, 60_000);
+      }
+      case LINK_FLAPPING -> {
+        every = millis(t.number("every_s", 0.1, 600));
+        factor = t.number("down_ms", 1, 60_000);
+      }
       case PAUSES -> {
-        every = MS * t.number("every_s", 0.1, 600);
+        every = millis(t.number("every_s", 0.1, 600));
         factor = t.number("freeze_ms", 1, 10_000);
       }
       case HEAVY_TAIL -> {
@@ -235,6 +244,9 @@
     if (kind == Kind.GATEWAY_STOP && fleet.inProcess()) {
       throw t.fail("what", "expected gateways to be processes: fleet.in_process must be false");
     }
+    if (kind.subject() == Subject.LINKS && !fleet.apart().isEmpty()) {
+      throw t.fail("what", "expected fleet.apart to be empty: a host that runs apart has no links");
+    }
     if (kind.subject() == Subject.HOSTS && kind != Kind.CRASH && kind != Kind.FREEZE) {
       for (String name : target.names()) {
         if (fleet.apart().contains(name)) {
@@ -275,12 +287,35 @@
         }
         return new Target(names, 1, null, null);
       }
+      case LINKS -> {
+        return new Target(
+            ends(t, "from", "g", fleet.gateways()),
+            1,
+            null,
+            null,
+            ends(t, "to", "s", fleet.servers()));
+      }
       default -> {
         return new Target(List.of(), 1, null, null);
       }
     }
   }
 
+  /** One kind of ends of links; empty, for all of them, where nothing is said. */
+  private static List<String> ends(Table t, String key, String letter, int most)
+      throws ScriptException {
+    List<String> names = t.texts(key, List.of());
+    for (String name : names) {
+      requireName(t, key, name, letter, most);
+    }
+    return names;
+  }
+
+  /** Seconds in milliseconds, to the microsecond: 16.056 s is 16,056 ms and nothing beside it. */
+  private static double millis(double seconds) {
+    return Math.rint(MS * MS * seconds) / MS;
+  }
+
   private static String site(Table t, Script.Fleet fleet) throws ScriptException {
     String site = t.text("site", null);
     if (site != null && !fleet.sites().contains(site)) {
--- a/src/test/java/hazelspoke/ArchitectureTest.java
+++ b/src/test/java/hazelspoke/ArchitectureTest.java
@@ -103,7 +103,8 @@
         .resideInAnyPackage(
             "hazelspoke.emulator.model..",
             "hazelspoke.emulator.judge..",
-            "hazelspoke.emulator.script..")
+            "hazelspoke.emulator.script..",
+            "hazelspoke.emulator.torment..")
         .should()
         .dependOnClassesThat()
         .resideInAnyPackage(
--- a/src/test/java/hazelspoke/emulator/net/DiscoveryTest.java
+++ b/src/test/java/hazelspoke/emulator/net/DiscoveryTest.java
@@ -36,7 +36,7 @@
   private void open(double mustAskMs, String more) throws Exception {
     Script script = ScriptReader.read("x", "length_s = 9\n[load]\nrate = 1\n" + more);
     address = Ports.free(78, 200);
-    discovery = new Discovery(stage, ledger, registry, script.discovery(), mustAskMs);
+    discovery = new Discovery(stage, ledger, registry, null, script.discovery(), mustAskMs);
     onLoop(
         () -> {
           registry.put(entry("s1", Status.READY));
--- a/src/test/java/hazelspoke/emulator/run/RehearsalTest.java
+++ b/src/test/java/hazelspoke/emulator/run/RehearsalTest.java
@@ -7,7 +7,9 @@
 import hazelspoke.emulator.report.HtmlReport;
 import hazelspoke.emulator.report.JsonReport;
 import hazelspoke.emulator.report.Results;
+import hazelspoke.emulator.script.Script;
 import hazelspoke.emulator.script.ScriptReader;
+import hazelspoke.emulator.script.ScriptWriter;
 import java.io.File;
 import java.io.OutputStream;
 import java.io.PrintStream;
@@ -23,7 +25,7 @@
 /** Whole rehearsals over sockets: rules and counts, never times. */
 class RehearsalTest {
   /** Wide enough for any machine: what breaks a rule here breaks it by seconds or for good. */
-  private static final String WIDE =
+  static final String WIDE =
       """
       [judge]
       slack_ms = %d
@@ -46,8 +48,12 @@
   @TempDir Path folder;
 
   private Results play(String script, GatewayLauncher launcher) throws Exception {
-    Files.writeString(folder.resolve("script.toml"), script);
-    World world = World.draw(ScriptReader.read("test", script), 1);
+    return play(folder, ScriptReader.read("test", script), launcher);
+  }
+
+  static Results play(Path folder, Script read, GatewayLauncher launcher) throws Exception {
+    Files.writeString(folder.resolve("script.toml"), ScriptWriter.write(read));
+    World world = World.draw(read, 1);
     List<String> self =
         List.of(
             Path.of(System.getProperty("java.home"), "bin", "java").toString(),
@@ -65,7 +71,7 @@
         .run();
   }
 
-  private static void assertSums(Results r, int asked) {
+  static void assertSums(Results r, int asked) {
     assertThat(r.windows().stream().mapToInt(Results.Window::asked).sum()).isEqualTo(asked);
     assertThat(r.classes().values().stream().mapToInt(Results.ClassResult::asked).sum())
         .isEqualTo(asked);
