Know a relayed caller by its port and its host; say options of plays once

TormentTest.whatASlowWay... failed once in a suite beside other work: requests that a slow link had delayed were judged by their arrival (1937 to 2257 ms after a drain was told; each was sent 2501 ms before it came). Ruled out: the delay, which was right for each, and the drain, told at one moment. The lines at fault are Links' one map of all passages by the caller's address: the system gives one local port to connections to several hosts at once, so a passage to another host took the entry and then removed it. Each host has a map of its own now.

--- a/src/main/java/hazelspoke/RehearseCommand.java
+++ b/src/main/java/hazelspoke/RehearseCommand.java
@@ -3,13 +3,12 @@
 import hazelspoke.emulator.model.World;
 import hazelspoke.emulator.report.Results;
 import hazelspoke.emulator.report.Spread;
-import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.Callable;
 import picocli.CommandLine.Command;
+import picocli.CommandLine.Mixin;
 import picocli.CommandLine.Option;
-import picocli.CommandLine.Parameters;
 
 /** Plays a script against gateways. */
 @Command(
@@ -30,14 +29,7 @@
       "4:the emulator itself ran late; the rehearsal counts for nothing"
     })
 final class RehearseCommand implements Callable<Integer> {
-  @Parameters(paramLabel = "SCRIPT", description = "A script in TOML.")
-  private Path script;
-
-  @Option(
-      names = "--seed",
-      paramLabel = "N",
-      description = "What chance draws from; default ${DEFAULT-VALUE}.")
-  private long seed = 1;
+  @Mixin private PlayOptions options;
 
   @Option(
       names = "--repeat",
@@ -45,18 +37,9 @@
       description = "Play it N times with one seed, and print how far the latencies lie apart.")
   private int repeat = 1;
 
-  @Option(names = "--json", paramLabel = "FILE", description = "Write the results as JSON.")
-  private Path json;
-
-  @Option(
-      names = "--html",
-      paramLabel = "FILE",
-      description = "Write a page with plots of outcomes, latencies and queues.")
-  private Path html;
-
   @Override
   public Integer call() throws Exception {
-    World world = Scripts.world(script, seed, System.err);
+    World world = options.world();
     if (world == null) {
       return Scripts.BAD_SCRIPT;
     }
@@ -65,10 +48,10 @@
     int status = Scripts.KEPT;
     for (int i = 0; i < Math.max(1, repeat); i++) {
       // Drawn anew: that the digests agree is something to be seen, not to be taken for granted.
-      World again = i == 0 ? world : Scripts.world(script, seed, System.err);
-      Results results = Scripts.play(again, script, System.out);
+      World again = i == 0 ? world : options.world();
+      Results results = options.play(again);
       all.add(results);
-      status = Math.max(status, Scripts.report(results, json, html, System.out));
+      status = Math.max(status, options.report(results));
     }
     if (repeat > 1) {
       System.out.println(Spread.of(all));
--- a/src/main/java/hazelspoke/TormentCommand.java
+++ b/src/main/java/hazelspoke/TormentCommand.java
@@ -4,6 +4,8 @@
 import hazelspoke.emulator.report.Results;
 import hazelspoke.emulator.script.Fault;
 import hazelspoke.emulator.script.Script;
+import hazelspoke.emulator.script.ScriptException;
+import hazelspoke.emulator.script.ScriptReader;
 import hazelspoke.emulator.script.ScriptWriter;
 import hazelspoke.emulator.torment.FaultDraw;
 import hazelspoke.emulator.torment.Shrinker;
@@ -18,10 +20,10 @@
 import java.util.List;
 import java.util.concurrent.Callable;
 import picocli.CommandLine.Command;
+import picocli.CommandLine.Mixin;
 import picocli.CommandLine.Model.CommandSpec;
 import picocli.CommandLine.Option;
 import picocli.CommandLine.ParameterException;
-import picocli.CommandLine.Parameters;
 import picocli.CommandLine.Spec;
 
 /** Plays a script with faults drawn between and at its processes. */
@@ -48,10 +50,7 @@
 
   @Spec private CommandSpec spec;
 
-  @Parameters(
-      paramLabel = "SCRIPT",
-      description = "A script in TOML; faults of its own are played too.")
-  private Path script;
+  @Mixin private PlayOptions options;
 
   @Option(
       names = "--processes",
@@ -59,12 +58,6 @@
       description = "So many gateways, 1 to 200; default: as the script has it.")
   private Integer processes;
 
-  @Option(
-      names = "--seed",
-      paramLabel = "N",
-      description = "What chance draws from; default ${DEFAULT-VALUE}.")
-  private long seed = 1;
-
   @Option(
       names = "--for",
       paramLabel = "SECONDS",
@@ -83,25 +76,16 @@
       description = "Where the script with the faults needed goes; default: it is printed.")
   private Path needed;
 
-  @Option(names = "--json", paramLabel = "FILE", description = "Write the results as JSON.")
-  private Path json;
-
-  @Option(
-      names = "--html",
-      paramLabel = "FILE",
-      description = "Write a page with a lane for each process, and plots.")
-  private Path html;
-
   @Override
   public Integer call() throws Exception {
-    World read = Scripts.world(script, seed, System.err);
+    World read = options.world();
     if (read == null) {
       return Scripts.BAD_SCRIPT;
     }
     Script all = tormented(read.script());
     Scripts.warmUp(System.out);
-    Results results = Scripts.play(World.draw(all, seed), script, System.out);
-    int status = Scripts.report(results, json, html, System.out);
+    Results results = options.play(World.draw(all, options.seed()));
+    int status = options.report(results);
     if (status == Scripts.BROKEN) {
       shrink(all);
     }
@@ -115,12 +99,19 @@
     require(
         gateways >= as.fleet().sites().size() && gateways <= 200,
         "--processes: expected one for each site at least, and 200 at most");
-    require(as.fleet().apart().isEmpty(), script + ": fleet.apart: expected it to be empty");
+    require(
+        as.fleet().apart().isEmpty(), options.script() + ": fleet.apart: expected it to be empty");
     Script longer = as.withProcesses(gateways, ms);
     List<Fault> faults = new ArrayList<>(as.faults());
-    faults.addAll(FaultDraw.draw(longer, seed));
+    faults.addAll(FaultDraw.draw(longer, options.seed()));
     faults.sort(Comparator.comparingDouble(Fault::atMs));
-    return longer.withFaults(faults);
+    try {
+      // Read again, so that what a broken play prints is what was played, and is checked as such.
+      String text = ScriptWriter.write(longer.withFaults(faults));
+      return ScriptReader.read(options.script() + " with these options", text);
+    } catch (ScriptException e) {
+      throw new ParameterException(spec.commandLine(), e.getMessage());
+    }
   }
 
   private void require(boolean holds, String otherwise) {
@@ -155,13 +146,15 @@
       System.out.println(text);
     } else {
       Files.writeString(needed, text);
-      System.out.println("script: " + needed + ", to be played with rehearse --seed " + seed);
+      System.out.println(
+          "script: " + needed + ", to be played with rehearse --seed " + options.seed());
     }
   }
 
   private boolean breaks(Script less, PrintStream quiet) throws InterruptedException {
     try {
-      return Scripts.status(Scripts.play(World.draw(less, seed), script, quiet)) == Scripts.BROKEN;
+      return Scripts.status(Scripts.play(World.draw(less, options.seed()), options.script(), quiet))
+          == Scripts.BROKEN;
     } catch (IOException e) {
       throw new UncheckedIOException(e);
     }
--- a/src/main/java/hazelspoke/emulator/net/Link.java
+++ b/src/main/java/hazelspoke/emulator/net/Link.java
@@ -59,7 +59,8 @@
   /**
    * @param address where the first process calls
    * @param target where the second listens
-   * @param registry takes in each connection by the address under which the second sees it
+   * @param registry takes in each connection by the address under which the second sees it; shared
+   *     with other ways to the same process only
    */
   Link(
       Stage stage,
--- a/src/main/java/hazelspoke/emulator/net/Links.java
+++ b/src/main/java/hazelspoke/emulator/net/Links.java
@@ -23,7 +23,6 @@
   private final int gateways;
   private final Map<String, Link> byName = new HashMap<>();
   private final Map<String, List<Link>> byHost = new HashMap<>();
-  private final Map<SocketAddress, Link.Passage> passages = new HashMap<>();
 
   /** One with no host joined yet, for gateways {@code g1} to {@code g<gateways>}. */
   public Links(Stage stage, int gateways) {
@@ -34,6 +33,8 @@
   /** Puts a relay between each gateway and this host, which is not up yet. */
   public void join(Host host) throws IOException {
     List<Link> links = new ArrayList<>();
+    // For each host by itself: the system gives one port to connections to several of them.
+    Map<SocketAddress, Link.Passage> passages = new HashMap<>();
     for (int g = 0; g < gateways; g++) {
       Link link =
           new Link(stage, Ports.free(NET, byName.size()), host.address(), passages, host.name());
--- a/src/test/java/hazelspoke/MainTest.java
+++ b/src/test/java/hazelspoke/MainTest.java
@@ -38,7 +38,7 @@
     assertThat(all.status()).isZero();
     for (String command :
         new String[] {
-          "demo", "rehearse", "compare", "serve", "adapter", "archive", "stock-server"
+          "demo", "rehearse", "compare", "torment", "serve", "adapter", "archive", "stock-server"
         }) {
       assertThat(all.out()).contains("  " + command);
       Said help = run(command, "--help");
@@ -85,6 +85,27 @@
             "pumicetray: " + script + ":5: a signal can do no more than crash and freeze");
   }
 
+  @Test
+  void aTormentThatCannotBePlayedIsRefusedBeforeAnythingStarts(@TempDir Path folder)
+      throws Exception {
+    Path script = folder.resolve("two.toml");
+    Files.writeString(
+        script,
+        "length_s = 9\n[fleet]\ngateways = 2\n[load]\nrate = 1\n[[fault]]\n"
+            + "what = \"gateway_hup\"\nat_s = 0\ngateways = [\"g2\"]\n");
+    for (String[] wrong :
+        new String[][] {
+          {"--for", "1", "5 to 7200"},
+          {"--processes", "0", "200 at most"},
+          {"--processes", "1", "names from g1 to g1, not g2"}
+        }) {
+      Said said = run("torment", script.toString(), wrong[0], wrong[1]);
+      assertThat(said.status()).isEqualTo(2);
+      assertThat(said.out()).isEmpty();
+      assertThat(said.err()).contains(wrong[2]);
+    }
+  }
+
   /** The gateway in service pays nothing for what people use. */
   @Test
   void serveLoadsNothingOfTheEmulatorNorOfItsLibraries() throws Exception {
@@ -111,6 +132,7 @@
             "antlr",
             "hazelspoke.emulator",
             "hazelspoke.bench",
+            "hazelspoke.agreement",
             "HdrHistogram",
             "hazelspoke.Commands");
   }
