--- a/src/test/java/hazelspoke/ArchitectureTest.java
+++ b/src/test/java/hazelspoke/ArchitectureTest.java
@@ -28,6 +28,7 @@
     "hazelspoke.node..",
     "hazelspoke.operations..",
     "hazelspoke.takeover..",
+    "hazelspoke.agreement..",
     "ternscale.."
   };
 
@@ -65,6 +66,34 @@
         .check(CLASSES);
   }
 
+  /** A voter's memory can be simulated: it reaches files by its own door, and nothing else. */
+  @Test
+  void theStoreOfTheRecordKnowsNobodyAndReadsNoClock() {
+    classes()
+        .that()
+        .resideInAPackage("hazelspoke.agreement.store..")
+        .should()
+        .onlyDependOnClassesThat()
+        .resideInAnyPackage("hazelspoke.agreement.store..", "java..")
+        .check(CLASSES);
+    noClasses()
+        .that()
+        .resideInAPackage("hazelspoke.agreement.store..")
+        .and()
+        .haveNameNotMatching(".*FileDisk.*")
+        .should()
+        .dependOnClassesThat()
+        .resideInAnyPackage("java.nio.channels..", "java.nio.file..", "java.time..")
+        .orShould()
+        .dependOnClassesThat()
+        .areAssignableTo(Random.class)
+        .orShould()
+        .callMethod(System.class, "nanoTime")
+        .orShould()
+        .callMethod(System.class, "currentTimeMillis")
+        .check(CLASSES);
+  }
+
   /** What both ends of HTTP share lies in a package that knows neither. */
   @Test
   void frontsAndBacksDoNotKnowOneAnotherNorWhoWiresThem() {
