Give up on a host while the client still listens, not at its deadline

An attempt is waited for until an eighth of the client's patience is left, 250 ms at most; one that begins later has half of what is left. The host is told the same in X-Remaining.

Module unchanged. The whole suite passes.

--- a/src/main/java/hazelspoke/core/Dispatcher.java
+++ b/src/main/java/hazelspoke/core/Dispatcher.java
@@ -191,7 +191,7 @@
     x.whole(now, lag.waitedMs());
     timers.add(x.overdue, x.deadline + OVERDUE_MS - now);
     for (Attempt attempt : x.attempts) {
-      attempt.limit(x.deadline - now);
+      attempt.limit(patience(x, now));
     }
   }
 
@@ -254,7 +254,16 @@
       loop.execute(() -> attempt.settle(Result.NOT_SENT, ""));
       return;
     }
-    attempt.go(timeoutMs > 0 ? Math.min(timeoutMs, leftMs) : leftMs);
+    double mostMs = patience(x, now);
+    attempt.go(timeoutMs > 0 ? Math.min(timeoutMs, mostMs) : mostMs);
+  }
+
+  /**
+   * How long an attempt is waited for: until what is said then still gets to the client. One that
+   * begins later than that has half of what is left.
+   */
+  private static double patience(Exchange x, double now) {
+    return Math.max(x.answerBy - now, (x.deadline - now) / 2);
   }
 
   @Override
@@ -269,7 +278,7 @@
   public void fail(String requestId) {
     Exchange x = exchanges.get(requestId);
     if (x != null) {
-      answer(x, Answer.failed(clock.nowMs() >= x.deadline));
+      answer(x, Answer.failed(clock.nowMs() >= x.answerBy));
     }
   }
 
@@ -417,7 +426,7 @@
 
     @Override
     public double remainingMs() {
-      double leftMs = Math.max(0, x.deadline - clock.nowMs());
+      double leftMs = Math.max(0, patience(x, clock.nowMs()));
       return leftMs < Double.POSITIVE_INFINITY ? leftMs : x.request().remainingMs();
     }
 
--- a/src/main/java/hazelspoke/core/Exchange.java
+++ b/src/main/java/hazelspoke/core/Exchange.java
@@ -9,6 +9,12 @@
  * One request of a client's, and how far it has come; beyond its making, the dispatcher's alone.
  */
 public final class Exchange {
+  /** The part of a client's patience that is kept for the way back and for moments lost here. */
+  private static final double SPARE_PART = 1.0 / 8;
+
+  /** But not more than processes with little to do were seen to stand still for, in ms. */
+  private static final double MOST_SPARE_MS = 250;
+
   private Request request;
   private Client client;
 
@@ -23,6 +29,12 @@
   /** Infinite while the rest of it is still to come. */
   double deadline;
 
+  /**
+   * From when on no attempt is waited for any more, so that what is said then gets to the client
+   * while it still listens, though this process may stand still for a moment; infinite as above.
+   */
+  double answerBy;
+
   /** What fails it should the module forget it; null before it is taken. */
   Deadlines.Entry overdue;
 
@@ -77,14 +89,19 @@
 
   /** The rest has come as well. */
   void whole(double now, double waitedMs) {
-    deadline = now - waitedMs + request.remainingMs();
+    due(now - waitedMs + request.remainingMs());
+  }
+
+  private void due(double when) {
+    deadline = when;
+    answerBy = when - Math.min(MOST_SPARE_MS, SPARE_PART * request.remainingMs());
   }
 
   /** The request is whole: its time has been running since it lay ready to be read. */
   RequestInfo taken(String ownId, double now, double waitedMs) {
     id = ownId;
     double ifWholeNow = now - waitedMs + request.remainingMs();
-    deadline = request.body().rest() == null ? ifWholeNow : Double.POSITIVE_INFINITY;
+    due(request.body().rest() == null ? ifWholeNow : Double.POSITIVE_INFINITY);
     return new RequestInfo(
         id,
         request.requestClass(),
