--- a/src/main/java/hazelspoke/agreement/store/RecordStore.java
+++ b/src/main/java/hazelspoke/agreement/store/RecordStore.java
@@ -79,7 +79,8 @@
    * Keeps the term, and whom its owner votes for in it. Lasting when this returns: only then may a
    * vote leave.
    *
-   * @param votedFor empty for nobody yet
+   * @param newTerm the term that its owner is in now
+   * @param newVote empty for nobody yet
    * @throws IllegalArgumentException for a term that has passed, or a second vote in one term
    */
   public void vote(int newTerm, String newVote) throws IOException {
@@ -103,8 +104,9 @@
     if (entry.index() != lastIndex + 1) {
       throw new IllegalArgumentException(entry + " does not follow " + lastIndex);
     }
-    mentions = Math.max(mentions, entry.index());
     write(Frame.Kind.ENTRY, Frame.numbers(entry.index(), entry.term()), entry.data());
+    // Of the segment that it went to, which may have begun with it.
+    mentions = Math.max(mentions, entry.index());
     lastIndex = entry.index();
   }
 
@@ -158,8 +160,8 @@
     long before = snapshotIndex;
     snapshotIndex = snapshot.index();
     lastIndex = Math.max(lastIndex, snapshotIndex);
-    mentions = Math.max(mentions, snapshotIndex);
     write(Frame.Kind.BASE, Frame.numbers(snapshotIndex));
+    mentions = Math.max(mentions, snapshotIndex);
     sync();
     forget(before);
   }
--- a/src/main/java/hazelspoke/emulator/net/Links.java
+++ b/src/main/java/hazelspoke/emulator/net/Links.java
@@ -21,7 +21,7 @@
 
   private final Stage stage;
   private final int gateways;
-  private final Map<String, Link> byName = new HashMap<>();
+  private final Map<LinkName, Link> byName = new HashMap<>();
   private final Map<String, List<Link>> byHost = new HashMap<>();
 
   /** One with no host joined yet, for gateways {@code g1} to {@code g<gateways>}. */
@@ -38,7 +38,7 @@
     for (int g = 0; g < gateways; g++) {
       Link link =
           new Link(stage, Ports.free(NET, byName.size()), host.address(), passages, host.name());
-      byName.put("g" + (g + 1) + ">" + host.name(), link);
+      byName.put(new LinkName("g" + (g + 1), host.name()), link);
       links.add(link);
     }
     byHost.put(Ports.text(host.address()), links);
@@ -59,7 +59,7 @@
 
   /** The way from a gateway to a host; the host by the name under which it was drawn. */
   public Link link(LinkName name) {
-    return byName.get(name.from() + ">" + name.to());
+    return byName.get(name);
   }
 
   /** The list as one gateway is told it: with the addresses of its own ways. */
