Follow the list until nothing can be sent, and hear silence in time; take back what waits

Causes: - Gateway.stopListening closed discovery 500 ms after SIGTERM, and retune moved none in a leave, while held and repeated requests went on choosing hosts for up to the longest deadline. - Membership backed off after a silent watch by a part of must_ask_in, doubling: with 30 s that is 2.5 + 4.5 s, over the 6 s after which what was missed counts as told; so it is after a new call that is silent too (2.6 + 1.5 + 3 + 3 s, also with 10 s). - A pushed list: a watch silent for 2.5 s was closed, the next call waited out 3 s and 500 ms more. What the agent says in between on the old watch was lost, and at its return a gateway could be up to 3.5 s late where the grace is 0.5 to 1 s. - Any byte counted as a sign of life, so a watch that trickles inside a line was never opened anew. - An attempt that waits for its connection was sent to a host that had begun to drain, up to connect_timeout later.

Changes: the watch lives as long as the process; MembersUpdate.Kind.SILENT sets silence apart from a failure that was said, and is answered by a call within a second; a pushed list has further watches opened beside a silent one every 200 ms (four at most) and the first that speaks replaces it; lines and entries are signs of life, bytes are not; an attempt of which nothing is written is taken back as never sent when its host stops being up.

--- a/src/main/java/hazelspoke/back/http/HostClient.java
+++ b/src/main/java/hazelspoke/back/http/HostClient.java
@@ -6,6 +6,7 @@
 import hazelspoke.core.Hosts;
 import hazelspoke.net.Buffers;
 import hazelspoke.net.Transport;
+import hazelspoke.net.Turns;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelException;
@@ -126,7 +127,7 @@
     HostConnection idle = pool.takeIdle();
     if (idle != null) {
       ticket.connection = idle;
-      loop.execute(ticket::begin);
+      ticket.beginAfterReading();
     } else if (connections < mostConnections || closeOneIdle()) {
       pool.connect(ticket);
     } else {
@@ -167,16 +168,23 @@
   private final class Ticket implements Hosts.Ticket {
     private final HostCall call;
     private HostConnection connection;
+    private boolean begun;
     private boolean over;
 
     private Ticket(HostCall call) {
       this.call = call;
     }
 
+    /** Whoever asked may have left while this process stood still: that is heard first. */
+    private void beginAfterReading() {
+      Turns.afterReading(loop, this::begin);
+    }
+
     private void begin() {
       if (over) {
         connection.close();
       } else {
+        begun = true;
         connection.begin(call);
       }
     }
@@ -187,6 +195,11 @@
       }
     }
 
+    @Override
+    public boolean isBegun() {
+      return begun;
+    }
+
     @Override
     public boolean isSent() {
       return connection != null && connection.isSent();
@@ -246,14 +259,12 @@
               // Not by the channel's end: one that got no descriptor has none.
               connections--;
             }
-            loop.execute(
-                () -> {
-                  if (done.isSuccess()) {
-                    ticket.begin();
-                  } else {
-                    ticket.fail(reached(done.cause()) ? Result.CONNECT_FAILED : Result.NOT_SENT);
-                  }
-                });
+            if (done.isSuccess()) {
+              ticket.beginAfterReading();
+            } else {
+              Result why = reached(done.cause()) ? Result.CONNECT_FAILED : Result.NOT_SENT;
+              loop.execute(() -> ticket.fail(why));
+            }
           });
     }
 
--- a/src/main/java/hazelspoke/back/http/HostConnection.java
+++ b/src/main/java/hazelspoke/back/http/HostConnection.java
@@ -10,12 +10,14 @@
 import hazelspoke.http.Headers;
 import hazelspoke.http.HttpLimits;
 import hazelspoke.http.ReadingSource;
+import hazelspoke.net.Turns;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufUtil;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelPipeline;
+import io.netty.channel.EventLoop;
 import io.netty.handler.codec.http.EmptyHttpHeaders;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
@@ -167,16 +169,18 @@
       return;
     }
     HostCall mine = call;
-    channel
-        .eventLoop()
-        .schedule(
-            () -> {
-              if (mine != null && call == mine && channel.isActive()) {
-                gate.letGo().addListener(this::lastWritten);
-              }
-            },
-            LAST_BYTE_WAIT_MS,
-            TimeUnit.MILLISECONDS);
+    EventLoop loop = channel.eventLoop();
+    loop.schedule(
+        // The news may lie unread, of this connection or of the client, where the loop stood still.
+        () -> Turns.afterReading(loop, () -> letGo(mine)),
+        LAST_BYTE_WAIT_MS,
+        TimeUnit.MILLISECONDS);
+  }
+
+  private void letGo(HostCall of) {
+    if (of != null && call == of && channel.isActive()) {
+      gate.letGo().addListener(this::lastWritten);
+    }
   }
 
   private void lastWritten(Future<? super Void> written) {
--- a/src/main/java/hazelspoke/core/Dispatcher.java
+++ b/src/main/java/hazelspoke/core/Dispatcher.java
@@ -130,6 +130,35 @@
     }
     MembersUpdate news = new MembersUpdate(kind, update.version(), entries);
     decide(null, () -> balancer.onMembers(clock.nowMs(), news));
+    if (kind.isNews()) {
+      stopUnsent(kind, entries);
+    }
+  }
+
+  /**
+   * What waits for its turn or for a connection to a host that wants nothing new is taken back: the
+   * connection may come up after the grace, and the request can go elsewhere now.
+   */
+  private void stopUnsent(MembersUpdate.Kind kind, List<HostEntry> entries) {
+    Set<String> up = new HashSet<>();
+    Set<String> named = new HashSet<>();
+    for (HostEntry entry : entries) {
+      named.add(entry.host());
+      if (entry.availability() == Availability.UP) {
+        up.add(entry.host());
+      }
+    }
+    boolean changes = kind == MembersUpdate.Kind.DELTA;
+    if (changes && up.size() == named.size()) {
+      return;
+    }
+    for (Exchange x : List.copyOf(exchanges.values())) {
+      for (Attempt a : List.copyOf(x.attempts)) {
+        if (!up.contains(a.host) && (!changes || named.contains(a.host))) {
+          a.takeBack();
+        }
+      }
+    }
   }
 
   /** Other settings are in force; see {@link Balancer#onSettings}. */
@@ -138,8 +167,10 @@
     decide(null, () -> balancer.onSettings(clock.nowMs(), next));
   }
 
-  public void onDiscoveryFailed() {
-    onMembers(MembersUpdate.Kind.FAILED, new HostList.Update(false, 0, List.of()));
+  /** A call to discovery failed; whether because nothing was heard. */
+  public void onDiscoveryFailed(boolean silent) {
+    MembersUpdate.Kind kind = silent ? MembersUpdate.Kind.SILENT : MembersUpdate.Kind.FAILED;
+    onMembers(kind, new HostList.Update(false, 0, List.of()));
   }
 
   @Override
@@ -393,6 +424,14 @@
       settle(result, "");
     }
 
+    /** Ends the attempt if nothing of it has been written: it never ran, and is no host's fault. */
+    private void takeBack() {
+      if (!over && ticket != null && !ticket.isBegun()) {
+        ticket.giveUp();
+        settle(Result.NOT_SENT, "");
+      }
+    }
+
     /** Ends the attempt at the gateway's own wish. */
     private void stop() {
       if (!over) {
--- a/src/main/java/hazelspoke/core/Hosts.java
+++ b/src/main/java/hazelspoke/core/Hosts.java
@@ -8,6 +8,9 @@
 public interface Hosts {
   /** One call under way. */
   interface Ticket {
+    /** Whether any of the call was handed to the socket: for a host that drains it counts so. */
+    boolean isBegun();
+
     /** Whether the host may have begun the call: its last byte was handed to the socket. */
     boolean isSent();
 
--- a/src/main/java/hazelspoke/discovery/DiscoveryClient.java
+++ b/src/main/java/hazelspoke/discovery/DiscoveryClient.java
@@ -15,6 +15,7 @@
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
+import io.netty.channel.ConnectTimeoutException;
 import io.netty.channel.EventLoop;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.HttpClientCodec;
@@ -30,6 +31,8 @@
 import io.netty.util.concurrent.ScheduledFuture;
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.util.ArrayDeque;
+import java.util.Deque;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
@@ -38,8 +41,14 @@
 import ternscale.adapter.WireException;
 
 /**
- * The calls to discovery: one watch at most, and look-ups. When to call is the module's to say;
- * only a pushed list, which nobody asks for, is kept up from here.
+ * The calls to discovery: a watch, and look-ups. When to call is the module's to say; only a pushed
+ * list, which nobody asks for, is kept up from here. It is followed until the process ends: as long
+ * as anything may be sent, also in a leave, what is told has to be known.
+ *
+ * <p>An agent that pushes lists answers at once and at no cost, and what it has counts as told
+ * whether or not a watch is open; but it may fall silent, and begin to speak again at any moment.
+ * So a watch that says nothing is not given up: others are opened beside it, again and again, and
+ * the first that speaks takes its place.
  */
 public final class DiscoveryClient implements Discovery {
   /** An empty line comes every 2 s; a watch silent for longer than this is broken. */
@@ -50,7 +59,14 @@
 
   private static final int CONNECT_TIMEOUT_MS = 1_000;
   private static final long CHECK_EVERY_MS = 100;
-  private static final long PUSHED_AGAIN_MS = 500;
+
+  /** Of a pushed list: silence beyond the empty lines, after which others are opened beside it. */
+  private static final double PUSHED_SILENCE_MS = 2_200;
+
+  /** So often, well within the shortest grace; and so many wait for their first word at once. */
+  private static final double PUSHED_AGAIN_MS = 200;
+
+  private static final int MOST_TRIED = 4;
 
   /**
    * What is known before the first call.
@@ -67,12 +83,19 @@
   private final Names names;
   private final Clock clock;
   private final Log log;
+  private final EventLoop loop;
   private final Consumer<HostList.Update> onUpdate;
-  private final Runnable onFailed;
+  private final Consumer<Boolean> onFailed;
   private long version;
   private final Set<Call> calls = new HashSet<>();
   private Call watch;
 
+  /** Watches of a pushed list that have not said anything yet, beside one that fell silent. */
+  private final Deque<Call> tried = new ArrayDeque<>();
+
+  private double triedAt = Double.NEGATIVE_INFINITY;
+
+  /** One that tells whoever asks it to of news, and of failures and whether they were silence. */
   public DiscoveryClient(
       EventLoop loop,
       Transport transport,
@@ -80,7 +103,8 @@
       Clock clock,
       Log log,
       Consumer<HostList.Update> onUpdate,
-      Runnable onFailed) {
+      Consumer<Boolean> onFailed) {
+    this.loop = loop;
     this.transport = transport;
     bootstrap =
         new Bootstrap()
@@ -102,14 +126,33 @@
   /** Where lists are pushed the gateway holds the watch itself, from the start. */
   public void start() {
     if (pushed) {
-      watch(true);
+      loop.scheduleWithFixedDelay(this::keepUp, 0, CHECK_EVERY_MS, TimeUnit.MILLISECONDS);
     }
   }
 
+  /** Sees to a watch of a pushed list that speaks. */
+  private void keepUp() {
+    double now = clock.nowMs();
+    if (watch != null && now - watch.heardAt <= PUSHED_SILENCE_MS) {
+      closeTried();
+    } else if (now - triedAt >= PUSHED_AGAIN_MS) {
+      triedAt = now;
+      if (tried.size() == MOST_TRIED) {
+        tried.removeFirst().close();
+      }
+      tried.add(new Call(true));
+    }
+  }
+
+  private void closeTried() {
+    tried.forEach(Call::close);
+    tried.clear();
+  }
+
   @Override
   public void watch(boolean on) {
     if (on) {
-      if (watch == null) {
+      if (watch == null && !pushed) {
         watch = new Call(true);
       }
     } else if (watch != null) {
@@ -137,14 +180,15 @@
     List<Call> askedOfOld = List.copyOf(calls);
     askedOfOld.forEach(Call::close);
     watch(false);
+    closeTried();
+    if (pushed) {
+      triedAt = Double.NEGATIVE_INFINITY;
+      keepUp();
+    }
     watch(true);
     askedOfOld.forEach(call -> lookup());
   }
 
-  public void close() {
-    watch(false);
-  }
-
   /** One call: its connection, and what was heard on it so far. */
   private final class Call extends ChannelInboundHandlerAdapter {
     private final boolean isWatch;
@@ -170,18 +214,19 @@
                   })
               .connect(transport.calling().apply(address));
       channel = connecting.channel();
-      check =
-          channel
-              .eventLoop()
-              .scheduleAtFixedRate(
-                  this::checkSilence, CHECK_EVERY_MS, CHECK_EVERY_MS, TimeUnit.MILLISECONDS);
+      if (!pushed || !isWatch) {
+        check =
+            loop.scheduleWithFixedDelay(
+                this::checkSilence, CHECK_EVERY_MS, CHECK_EVERY_MS, TimeUnit.MILLISECONDS);
+      }
       connecting.addListener(this::connected);
     }
 
     private void connected(Future<? super Void> connecting) {
       if (!connecting.isSuccess()) {
         // On a later turn, as a connection may fail while the module is still asking for it.
-        channel.eventLoop().execute(() -> end("cannot connect"));
+        boolean unheard = connecting.cause() instanceof ConnectTimeoutException;
+        loop.execute(() -> end("cannot connect", unheard));
         return;
       }
       String path = "/v1/servers" + (isWatch ? "?watch=1&from=" + version : "");
@@ -196,35 +241,50 @@
     @Override
     public void channelRead(ChannelHandlerContext ctx, Object message) {
       try {
-        heardAt = clock.nowMs();
         if (over) {
           return;
         }
         if (message instanceof HttpResponse response) {
+          heardAt = clock.nowMs();
           good =
               response.decoderResult().isSuccess()
                   && response.status().equals(HttpResponseStatus.OK);
           reader = new HostListReader(names);
         }
         if (good && message instanceof HttpContent content) {
-          List<HostList.Update> news = reader.feed(ByteBufUtil.getBytes(content.content()));
+          byte[] bytes = ByteBufUtil.getBytes(content.content());
+          List<HostList.Update> news = reader.feed(bytes);
+          boolean lineEnded = bytes.length > 0 && bytes[bytes.length - 1] == '\n';
+          if (!news.isEmpty() || (lineEnded && reader.isBetweenLines())) {
+            heard();
+          }
           for (HostList.Update update : news) {
             take(update);
           }
           good = content.decoderResult().isSuccess();
         }
         if (!good) {
-          end("an answer that is none");
+          end("an answer that is none", false);
         } else if (message instanceof LastHttpContent) {
-          end("the answer ended");
+          end("the answer ended", false);
         }
       } catch (IOException | WireException e) {
-        end(e.getMessage());
+        end(e.getMessage(), false);
       } finally {
         ReferenceCountUtil.release(message);
       }
     }
 
+    /** A line, or an entry of one: bytes that make neither are no sign of life. */
+    private void heard() {
+      heardAt = clock.nowMs();
+      if (tried.remove(this)) {
+        watch(false);
+        watch = this;
+        closeTried();
+      }
+    }
+
     private void take(HostList.Update update) {
       if (update.version() >= 0) {
         version = update.version();
@@ -237,46 +297,41 @@
     private void checkSilence() {
       double limit = whole ? WATCH_SILENCE_MS : FIRST_BYTES_MS;
       if (clock.nowMs() - heardAt > limit) {
-        end("silent");
+        end("silent", true);
       }
     }
 
     @Override
     public void channelInactive(ChannelHandlerContext ctx) {
-      end("the connection ended");
+      end("the connection ended", false);
     }
 
     @Override
     public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
-      end(cause.toString());
+      end(cause.toString(), false);
     }
 
-    private void end(String why) {
+    private void end(String why, boolean silent) {
       if (over) {
         return;
       }
       close();
+      tried.remove(this);
       if (watch == this) {
         watch = null;
       }
-      if (pushed && isWatch) {
-        channel.eventLoop().schedule(this::again, PUSHED_AGAIN_MS, TimeUnit.MILLISECONDS);
-      } else if (isWatch || !whole) {
+      if ((isWatch && !pushed) || (!isWatch && !whole)) {
         log.line("discovery: " + (isWatch ? "the watch" : "a look-up") + " failed: " + why);
-        onFailed.run();
-      }
-    }
-
-    private void again() {
-      if (watch == null) {
-        watch(true);
+        onFailed.accept(silent);
       }
     }
 
     private void close() {
       over = true;
       calls.remove(this);
-      check.cancel(false);
+      if (check != null) {
+        check.cancel(false);
+      }
       channel.close();
     }
   }
--- a/src/main/java/hazelspoke/discovery/HostListReader.java
+++ b/src/main/java/hazelspoke/discovery/HostListReader.java
@@ -61,6 +61,11 @@
     return out;
   }
 
+  /** Whether all that was fed so far are whole lines, the last of them perhaps an empty one. */
+  boolean isBetweenLines() {
+    return depth == 0;
+  }
+
   private void take(JsonToken t, List<HostList.Update> out) throws IOException {
     switch (t) {
       case START_OBJECT, START_ARRAY -> {
--- a/src/main/java/hazelspoke/node/Gateway.java
+++ b/src/main/java/hazelspoke/node/Gateway.java
@@ -80,7 +80,6 @@
   private volatile ClassBook classes;
 
   private volatile ClientServer clients;
-  private boolean leaving;
 
   /** Whether clients are taken; operators ask from a thread of their own. */
   private volatile boolean serving;
@@ -360,9 +359,8 @@
       }
       dispatcher.onSettings(before.retuned(book.types(), next.settings().limits()));
       clients.retune(book);
-      if (!leaving) {
-        discovery.moveTo(next.discovery());
-      }
+      // In a leave too: as long as anything may be sent, the list has to be known.
+      discovery.moveTo(next.discovery());
     }
     classes = book;
     if (operators != null) {
@@ -414,9 +412,7 @@
   }
 
   private void stopListening() {
-    leaving = true;
     clients.stopListening();
-    discovery.close();
     loop.scheduleAtFixedRate(
         () -> {
           if (!clients.isBusy()) {
--- a/src/main/java/ternscale/api/MembersUpdate.java
+++ b/src/main/java/ternscale/api/MembersUpdate.java
@@ -14,7 +14,14 @@
     /** The complete list this gateway last held, perhaps outdated. */
     CACHED,
     /** A call failed or the subscription broke; no entries. */
-    FAILED
+    FAILED,
+    /** A call or the subscription fell silent, so that news may have been missed; no entries. */
+    SILENT;
+
+    /** Whether entries come with it. */
+    public boolean isNews() {
+      return this != FAILED && this != SILENT;
+    }
   }
 
   public MembersUpdate {
--- a/src/main/java/ternscale/policy/HostTable.java
+++ b/src/main/java/ternscale/policy/HostTable.java
@@ -94,7 +94,7 @@
   }
 
   void apply(MembersUpdate update, double now) {
-    if (update.kind() == MembersUpdate.Kind.FAILED) {
+    if (!update.kind().isNews()) {
       return;
     }
     Set<String> named = new HashSet<>();
--- a/src/main/java/ternscale/policy/Membership.java
+++ b/src/main/java/ternscale/policy/Membership.java
@@ -16,13 +16,15 @@
   /** Part of the permitted silence over which the fleet spreads its first calls. */
   private static final double SPREAD = 0.8;
 
-  /** First back-off after a failure, as a part of the permitted silence. */
-  private static final double BACK_OFF = 0.1;
+  /** Longest back-off after a first failure, as a part of the permitted silence. */
+  private static final double BACK_OFF = 0.15;
+
+  /** And after silence, which counts as told 6 s after its begin: 3 s show it, calls wait 2 s. */
+  private static final double UNHEARD_MS = 1_000;
 
   private final Settings settings;
   private final Actions actions;
   private final Random random;
-  private boolean calling;
   private boolean waiting;
   private int failures;
 
@@ -42,7 +44,6 @@
   void onTimer() {
     if (waiting) {
       waiting = false;
-      calling = true;
       actions.watch(true);
     }
   }
@@ -52,19 +53,19 @@
         || update.kind() == MembersUpdate.Kind.CACHED) {
       return;
     }
-    // A failure names no call: whether ours failed or the subscription broke, ask again later.
-    calling = false;
-    if (update.kind() != MembersUpdate.Kind.FAILED) {
+    if (update.kind().isNews()) {
       failures = 0;
       return;
     }
-    failures = Math.min(failures + 1, 4);
-    double base = BACK_OFF * settings.rules().mustAskInMs() * (1 << (failures - 1));
-    callIn(base * (0.5 + random.nextDouble()));
+    // A failure names no call: whether ours failed or the subscription broke, ask again later.
+    boolean silent = update.kind() == MembersUpdate.Kind.SILENT;
+    failures = silent ? failures : Math.min(failures + 1, 4);
+    double most = BACK_OFF * settings.rules().mustAskInMs() * (1 << Math.max(0, failures - 1));
+    callIn(Math.min(most, silent ? UNHEARD_MS : most) * (1 + 2 * random.nextDouble()) / 3);
   }
 
   private void callIn(double delayMs) {
-    if (!waiting && !calling) {
+    if (!waiting) {
       waiting = true;
       actions.setTimer(TIMER, delayMs);
     }
--- a/src/test/java/hazelspoke/core/CoreRig.java
+++ b/src/test/java/hazelspoke/core/CoreRig.java
@@ -49,6 +49,11 @@
       this.call = call;
     }
 
+    @Override
+    public boolean isBegun() {
+      return sent;
+    }
+
     @Override
     public boolean isSent() {
       return sent;
--- /dev/null
+++ b/src/test/java/hazelspoke/node/ListEndingsTest.java
@@ -0,0 +1,155 @@
+package hazelspoke.node;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.net.Socket;
+import java.util.concurrent.CountDownLatch;
+import org.junit.jupiter.api.Test;
+
+/** What is owed to hosts that begin to drain, and by when the gateway has to know of it. */
+class ListEndingsTest {
+  private static final String READY = "Ready";
+  private static final String DRAINING = "Terminating";
+
+  /** A host that holds what it is asked until it may fail, and one that answers. */
+  private static FakeServer failing(CountDownLatch until) throws Exception {
+    return new FakeServer(
+        (head, out) -> {
+          Rig.hold(until);
+          return FakeServer.answer(out, "HTTP/1.1 500 no\r\nContent-Length: 0\r\n\r\n");
+        });
+  }
+
+  private static FakeServer answering(String text) throws Exception {
+    return new FakeServer((head, out) -> FakeServer.answer(out, FakeServer.ok(text)));
+  }
+
+  /** The second try comes after the leave began, when its host has begun to drain. */
+  @Test
+  void theListIsFollowedInALeaveUntilNothingCanBeSentAnyMore() throws Exception {
+    CountDownLatch fail = new CountDownLatch(1);
+    try (FakeServer first = failing(fail);
+        FakeServer second = answering("second");
+        LiveList discovery = new LiveList(Rig.list(1, true, Rig.entry(first.address(), READY)));
+        Rig rig = new Rig(160, discovery.server);
+        Socket client = rig.connect()) {
+      Rig.await("the list", () -> rig.figure("known_hosts") == 1);
+      Rig.send(client, Rig.look(Rig.id(), ""));
+      Rig.await("the first has it", () -> first.heads.size() == 1);
+      discovery.tell(Rig.list(2, false, Rig.entry(second.address(), READY)));
+      Rig.await("the second is known", () -> rig.figure("known_hosts") == 2);
+      Thread leaving = rig.beginToLeave();
+      discovery.tell(Rig.list(3, false, Rig.entry(second.address(), DRAINING)));
+      rig.turns();
+      fail.countDown();
+      rig.turns();
+      rig.turns();
+      assertThat(second.heads).isEmpty();
+      discovery.tell(Rig.list(4, false, Rig.entry(second.address(), READY)));
+      assertThat(Rig.receive(client)).contains(" 200 ").endsWith("second");
+      leaving.join();
+    }
+  }
+
+  @Test
+  void aNewConfigurationMovesDiscoveryInALeaveToo() throws Exception {
+    CountDownLatch fail = new CountDownLatch(1);
+    try (FakeServer first = failing(fail);
+        FakeServer second = answering("second");
+        LiveList before = new LiveList(Rig.list(1, true, Rig.entry(first.address(), READY)));
+        LiveList after = new LiveList(Rig.list(1, true, Rig.entry(second.address(), READY)));
+        Rig rig = new Rig(160, before.server);
+        Socket client = rig.connect()) {
+      Rig.await("the list", () -> rig.figure("known_hosts") == 1);
+      Rig.send(client, Rig.look(Rig.id(), ""));
+      Rig.await("the first has it", () -> first.heads.size() == 1);
+      Thread leaving = rig.beginToLeave();
+      rig.configure(rig.config(160, after.address()));
+      rig.gateway.reload(rig.environment);
+      Rig.await("a watch at the new address", () -> after.told() == 1);
+      rig.turns();
+      fail.countDown();
+      assertThat(Rig.receive(client)).contains(" 200 ").endsWith("second");
+      leaving.join();
+    }
+  }
+
+  /** The connection to the host that drains comes up only after the news. */
+  @Test
+  void whatWaitsForAConnectionToAHostThatBeginsToDrainGoesElsewhere() throws Exception {
+    try (LateListener late = new LateListener();
+        FakeServer other = answering("other");
+        LiveList discovery = new LiveList(Rig.list(1, true, Rig.entry(late.address(), READY)));
+        Rig rig = new Rig(160, discovery.server);
+        Socket client = rig.connect()) {
+      Rig.await("the list", () -> rig.figure("known_hosts") == 1);
+      Rig.send(client, Rig.dispatch(Rig.id(), ""));
+      Rig.await("it is taken", () -> rig.figure("in_progress") == 1);
+      rig.turns();
+      discovery.tell(
+          Rig.list(
+              2, false, Rig.entry(other.address(), READY), Rig.entry(late.address(), DRAINING)));
+      assertThat(Rig.receive(client)).contains(" 200 ").endsWith("other");
+      assertThat(late.letIn()).isZero();
+    }
+  }
+
+  /** It is silent for longer than any call waits, and then speaks on whichever watch it likes. */
+  @Test
+  void anAgentThatWasSilentIsHeardWhereverItSpeaksAgain() throws Exception {
+    try (FakeServer first = answering("first");
+        FakeServer second = answering("second");
+        LiveList discovery = new LiveList(Rig.list(1, true, Rig.entry(first.address(), READY)));
+        Rig rig = new Rig(160, discovery.server)) {
+      Rig.await("the list", () -> rig.figure("known_hosts") == 1);
+      discovery.silent(true);
+      Rig.await("others beside the silent watch", () -> discovery.server.heads.size() >= 8);
+      // Silence takes nothing away, and the watch that fell silent is there still.
+      assertThat(served(rig)).endsWith("first");
+      assertThat(discovery.told()).isEqualTo(1);
+      discovery.tell(Rig.list(2, true, Rig.entry(second.address(), READY)));
+      Rig.await("the new list", () -> served(rig).endsWith("second"));
+      int calls = discovery.server.heads.size();
+      Rig.await("others beside it again", () -> discovery.server.heads.size() >= calls + 2);
+      discovery.becomes(Rig.list(3, true, Rig.entry(first.address(), READY)));
+      discovery.silent(false);
+      Rig.await("told on a new watch", () -> served(rig).endsWith("first"));
+      discovery.tell(Rig.list(4, true, Rig.entry(second.address(), READY)));
+      Rig.await("which took its place", () -> served(rig).endsWith("second"));
+    }
+  }
+
+  private static String served(Rig rig) {
+    try {
+      return rig.ask(Rig.look(Rig.id(), ""));
+    } catch (java.io.IOException e) {
+      throw new java.io.UncheckedIOException(e);
+    }
+  }
+
+  /** Bytes that make no line are no sign of life: a watch that trickles is as good as silent. */
+  @Test
+  void aWatchThatTricklesBytesAndNoLinesIsOpenedAnew() throws Exception {
+    try (FakeServer first = answering("first");
+        FakeServer discovery =
+            new FakeServer(
+                (head, out) -> {
+                  String list = Rig.list(1, true, Rig.entry(first.address(), READY)) + "\n";
+                  FakeServer.answer(out, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+                  chunk(out, list);
+                  chunk(out, "{\"index\":2,");
+                  while (true) {
+                    chunk(out, " ");
+                    Thread.sleep(200);
+                  }
+                });
+        Rig rig = new Rig(160, discovery)) {
+      Rig.await("another watch", () -> discovery.heads.size() >= 2);
+      assertThat(rig.ask(Rig.look(Rig.id(), ""))).endsWith("first");
+    }
+  }
+
+  private static void chunk(java.io.OutputStream out, String text) throws java.io.IOException {
+    FakeServer.answer(out, Integer.toHexString(text.length()) + "\r\n" + text + "\r\n");
+  }
+}
--- /dev/null
+++ b/src/test/java/hazelspoke/node/LiveList.java
@@ -0,0 +1,68 @@
+package hazelspoke.node;
+
+import java.io.IOException;
+import java.io.OutputStream;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
+
+/** A discovery whose watches a test goes on writing to, or that hears calls and says nothing. */
+final class LiveList implements AutoCloseable {
+  final FakeServer server;
+  private final List<OutputStream> watches = new CopyOnWriteArrayList<>();
+  private volatile String list;
+  private volatile boolean silent;
+
+  LiveList(String list) throws IOException {
+    this.list = list;
+    server = new FakeServer(this::call);
+  }
+
+  private boolean call(String head, OutputStream out) throws IOException {
+    if (!silent) {
+      FakeServer.answer(out, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + chunk(list));
+      watches.add(out);
+    }
+    return true;
+  }
+
+  private static String chunk(String line) {
+    int length = line.getBytes(StandardCharsets.ISO_8859_1).length + 1;
+    return Integer.toHexString(length) + "\r\n" + line + "\n\r\n";
+  }
+
+  /** How many watches were told the list at their beginning. */
+  int told() {
+    return watches.size();
+  }
+
+  /** From now on calls are taken and not answered; or they are again. */
+  void silent(boolean on) {
+    silent = on;
+  }
+
+  /** What new watches are told first. */
+  void becomes(String next) {
+    list = next;
+  }
+
+  /** Writes a line to whoever watches still. */
+  void tell(String line) {
+    for (OutputStream watch : watches) {
+      try {
+        FakeServer.answer(watch, chunk(line));
+      } catch (IOException e) {
+        // That one watches no more.
+      }
+    }
+  }
+
+  String address() {
+    return server.address();
+  }
+
+  @Override
+  public void close() throws IOException {
+    server.close();
+  }
+}
--- a/src/test/java/hazelspoke/node/Rig.java
+++ b/src/test/java/hazelspoke/node/Rig.java
@@ -92,10 +92,23 @@
   }
 
   static String entry(String name, FakeServer host, String status, long since) {
+    return entry(host.address(), status)
+        .replace("\"since_ms\":0", "\"since_ms\":" + since)
+        .replace("\"h" + host.address() + "\"", "\"" + name + "\"");
+  }
+
+  /** One that started long ago and is named after its address. */
+  static String entry(String address, String status) {
     return """
-        {"name":"%s","address":"%s","zone":"a","type":"k","group":0,"status":"%s","weight":1.0,\
-        "since_ms":%d}"""
-        .formatted(name, host.address(), status, since);
+        {"name":"h%s","address":"%s","zone":"a","type":"k","group":0,"status":"%s","weight":1.0,\
+        "since_ms":0}"""
+        .formatted(address, address, status);
+  }
+
+  /** A list, or changes to it, of such entries. */
+  static String list(int index, boolean whole, String... entries) {
+    return "{\"index\":%d,\"snapshot\":%b,\"endpoints\":[%s]}"
+        .formatted(index, whole, String.join(",", entries));
   }
 
   /** A discovery that tells one list to whoever watches, and then keeps silent. */
@@ -150,6 +163,33 @@
     }
   }
 
+  /** Lets the gateway read all that lies at its sockets by now, and do what follows from it. */
+  void turns() throws Exception {
+    for (int i = 0; i < 3; i++) {
+      gateway.loop.schedule(() -> {}, 1, TimeUnit.MILLISECONDS).sync();
+    }
+  }
+
+  static String look(String txn, String more) {
+    return "GET /look HTTP/1.1\r\nHost: x\r\nX-Lane: look\r\nX-Txn: "
+        + txn
+        + "\r\nX-Remaining: 20.0\r\n"
+        + more
+        + "\r\n";
+  }
+
+  /** Begins to take leave, and returns once the gateway has let go of what rests. */
+  Thread beginToLeave() throws Exception {
+    Thread leaving = new Thread(this::leave);
+    leaving.start();
+    await("told to leave", () -> log.toString().contains("taking leave"));
+    CountDownLatch over = new CountDownLatch(1);
+    // Its own timers come in their order: what it does at 500 ms is done by then.
+    gateway.loop.schedule(over::countDown, 700, TimeUnit.MILLISECONDS);
+    hold(over);
+    return leaving;
+  }
+
   /** One request on a connection of its own. */
   String ask(String request) throws IOException {
     try (Socket socket = connect()) {
--- a/src/test/java/ternscale/policy/DeparturesTest.java
+++ b/src/test/java/ternscale/policy/DeparturesTest.java
@@ -7,6 +7,8 @@
 import java.util.Set;
 import java.util.TreeMap;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 import ternscale.api.HostEntry.Availability;
 import ternscale.api.MembersUpdate.Kind;
 import ternscale.api.Outcome;
@@ -290,6 +292,36 @@
     assertThat(g.log.stream().filter("watch true"::equals)).hasSize(2);
   }
 
+  /**
+   * What a silent watch misses counts as told 6 s after it fell silent. It shows after 2.5 s, on a
+   * new call after 3 s, and a call may wait for 2 s: 1 s is left, whatever the settings say.
+   */
+  @ParameterizedTest
+  @ValueSource(doubles = {500, 5_000, 10_000, 30_000, 120_000})
+  void silenceIsAnsweredByANewCallWithinASecondAndStaysSpread(double mustAskInMs) {
+    Set<Double> delays = new HashSet<>();
+    for (int seed = 0; seed < 50; seed++) {
+      Gateway g = new Gateway(Gateway.mustAskIn(mustAskInMs), seed);
+      g.hosts(2);
+      for (int again = 0; again < 6; again++) {
+        g.balancer.onTimer(g.now, Membership.TIMER);
+        g.members(Kind.SILENT);
+        assertThat(g.timerMs).isBetween(0.0, 1_000.0);
+        delays.add(g.timerMs);
+      }
+      // Failures that were said are another matter: they leave four times as long.
+      for (int again = 0; again < 6; again++) {
+        g.balancer.onTimer(g.now, Membership.TIMER);
+        g.members(Kind.FAILED);
+        assertThat(g.timerMs).isBetween(0.04 * mustAskInMs, 4 * mustAskInMs);
+      }
+      g.balancer.onTimer(g.now, Membership.TIMER);
+      g.members(Kind.SILENT);
+      assertThat(g.timerMs).isBetween(0.0, 1_000.0);
+    }
+    assertThat(delays).hasSizeGreaterThan(250);
+  }
+
   @Test
   void aHopelesslyHeavyRequestIsRefusedAtOnce() {
     Gateway g = new Gateway(REPEATABLE, 5);
--- a/src/test/java/ternscale/policy/Gateway.java
+++ b/src/test/java/ternscale/policy/Gateway.java
@@ -22,6 +22,10 @@
   final List<String> log = new ArrayList<>();
   final List<Sent> sent = new ArrayList<>();
   final LcStarBalancer balancer;
+
+  /** How far off the timer that was set last is. */
+  double timerMs;
+
   double now = 1_000_000;
   private int ids;
   private final java.util.Map<String, Integer> attempts = new java.util.HashMap<>();
@@ -52,6 +56,31 @@
         discovery, hostsRememberKeys, marksRetries, new Settings.Goal(1, 0, 0, 0), FREE, classes);
   }
 
+  /** Discovery is asked, and a gateway with no watch may be without news for so long. */
+  static Settings mustAskIn(double ms) {
+    Settings s = settings(Settings.Discovery.ON_REQUEST, type(Effect.REPEATABLE, Group.ALL));
+    return new Settings(
+        s.me(),
+        s.instances(),
+        s.zone(),
+        s.zones(),
+        s.tickMs(),
+        s.classes(),
+        s.tenants(),
+        s.overShareWorth(),
+        s.worthByWork(),
+        s.discovery(),
+        s.hostsRememberKeys(),
+        s.clientsMarkRetries(),
+        s.limits(),
+        new Settings.Rules(0.2, 10_000, 3, 3000, 1000, 20, ms),
+        s.prices(),
+        s.goal(),
+        s.reportMode(),
+        s.reportFields(),
+        s.weightMeaning());
+  }
+
   static Settings goal(Settings.Goal goal, RequestClass... classes) {
     return settings(Settings.Discovery.PUSHED, false, false, goal, FREE, classes);
   }
@@ -179,6 +208,7 @@
 
   @Override
   public void setTimer(long timer, double delayMs) {
+    timerMs = delayMs;
     log.add("timer " + timer);
   }
 
