Settle what is owed at the end of a leave, and send nothing on for clients that have left

Causes, each seen in a test over loopback that forces the order: - ClientServer.stopListening closed the listener plainly: who waited in the kernel with a whole request was reset, all of them where the gateway was at its limit of connections. - New connections (FRESH) were closed by their state 500 ms after SIGTERM, also with a request in the kernel that the loop had not come to read. - An exit went by requests that were read: the linger of answered clients ended with it, and a close on unread input resets an answer. - At the limit of a leave what was in hand was dropped with its connections, not answered. - A request and its client's end that lay in the kernel together went on to a host with a connection at rest: the begin of a call ran between the reading of the one and of the other. So did one that waited to be let in, however long its client had left.

Changes: the listener is closed once nobody waits in it, taking in as many as there is room for; the process ends when every connection is over, new ones and answered ones having 250 ms; the rest is answered as failed in the last 50 ms.

Tests of node, core, takeover and emulator.run pass. Not shown: the reset of an answer at exit; on loopback the kernel mostly delivers it.

--- a/src/main/java/hazelspoke/core/Dispatcher.java
+++ b/src/main/java/hazelspoke/core/Dispatcher.java
@@ -99,6 +99,15 @@
     }
   }
 
+  /** Fails all that is in hand: this process ends before they could be answered otherwise. */
+  public void failAll() {
+    List<Exchange> left = exchanges.values().stream().filter(x -> !x.ended).toList();
+    if (!left.isEmpty()) {
+      log.line("leaving with requests in hand, failed: " + left.size());
+      left.forEach(this::abandon);
+    }
+  }
+
   /** Fails a request that the module has lost track of. */
   private void abandon(Exchange x) {
     if (!x.ended) {
--- a/src/main/java/hazelspoke/front/http/ClientServer.java
+++ b/src/main/java/hazelspoke/front/http/ClientServer.java
@@ -12,6 +12,7 @@
 import hazelspoke.net.Buffers;
 import hazelspoke.net.Listener;
 import hazelspoke.net.Transport;
+import hazelspoke.net.Turns;
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
@@ -28,7 +29,6 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
-import java.util.stream.Stream;
 
 /** Takes clients' connections in and keeps their number within the sockets there are. */
 public final class ClientServer {
@@ -63,6 +63,9 @@
    */
   private static final double LAME_REST_MS = 1_500;
 
+  /** In a leave: for a new client to speak, and for one that was told good-bye to go. */
+  private static final double LEAVE_MS = 250;
+
   /** One turn accepts up to this many before the limit is looked at. */
   private static final int ACCEPTED_AT_ONCE = 16;
 
@@ -105,7 +108,9 @@
     for (State state : State.values()) {
       byState.put(state, new LinkedHashSet<>());
     }
-    loop.scheduleAtFixedRate(this::sweep, SWEEP_MS, SWEEP_MS, TimeUnit.MILLISECONDS);
+    // After reading: who has spoken while this process stood still is not taken for silent.
+    loop.scheduleWithFixedDelay(
+        () -> Turns.afterReading(loop, this::sweep), SWEEP_MS, SWEEP_MS, TimeUnit.MILLISECONDS);
   }
 
   /**
@@ -155,14 +160,14 @@
 
   private void makeRoomAfter(long delayMs) {
     makingRoom = true;
-    loop.schedule(this::makeRoom, delayMs, TimeUnit.MILLISECONDS);
+    loop.schedule(() -> Turns.afterReading(loop, this::makeRoom), delayMs, TimeUnit.MILLISECONDS);
   }
 
   /**
    * At the limit the least useful connection makes room: one that was told good-bye, one that never
-   * said anything, one that rests, one that does not get on. This meets floods of any such kind. A
-   * turn of its own lets all that has come in be read first, so that no new client with a request
-   * is taken for a silent one. With nothing to spare, new connections wait in the kernel.
+   * said anything, one that rests, one that does not get on. This meets floods of any such kind.
+   * All that has come in is read first, so that no new client with a request is taken for a silent
+   * one. With nothing to spare, new connections wait in the kernel.
    */
   private void makeRoom() {
     makingRoom = false;
@@ -317,24 +322,46 @@
    */
   public void handOver() {
     handedOver = true;
-    if (listener instanceof Listener shared) {
-      shared.closeEmpty();
-    } else {
-      listener.close();
-    }
+    closeListener();
   }
 
-  /** Nothing new comes any more; what rests may go, and every answer is its connection's last. */
+  /**
+   * Nothing new comes any more; what rests may go, and every answer is its connection's last. Who
+   * waits in the kernel was accepted by this machine: all of them are taken in first, as far as
+   * there is room, and the rest as others leave.
+   */
   public void stopListening() {
     leaving = true;
-    listener.close();
-    List.copyOf(byState.get(State.FRESH)).forEach(ClientConnection::closeGracefully);
     List.copyOf(byState.get(State.IDLE)).forEach(ClientConnection::closeGracefully);
+    closeListener();
+  }
+
+  /** Closes it with nobody left waiting; whether it is closed. */
+  private boolean closeListener() {
+    if (!listener.isOpen()) {
+      return true;
+    }
+    if (listener instanceof Listener own) {
+      return own.closeEmpty(mostConnections - open);
+    }
+    listener.close();
+    return true;
   }
 
-  /** Whether a request is coming or in hand, or an answer not yet written. */
-  public boolean isBusy() {
-    return Stream.of(State.HEAD, State.READING, State.IN_HAND, State.ANSWERING)
-        .anyMatch(state -> !byState.get(state).isEmpty());
+  /**
+   * Whether nothing is owed to anybody any more: asked again and again in a leave, each time after
+   * the sockets were read. Who is new has a moment to say something, and who was told good-bye one
+   * to go: an end on what a client still sends would reset the answer on its way to it.
+   */
+  public boolean isSettled() {
+    expire(State.FRESH, LEAVE_MS);
+    double before = clock.nowMs() - LEAVE_MS;
+    return closeListener()
+        && byState.entrySet().stream()
+            .allMatch(
+                of ->
+                    of.getKey() == State.CLOSING
+                        ? of.getValue().stream().allMatch(c -> c.enteredAt() <= before)
+                        : of.getValue().isEmpty());
   }
 }
--- a/src/main/java/hazelspoke/net/Listener.java
+++ b/src/main/java/hazelspoke/net/Listener.java
@@ -11,21 +11,29 @@
  */
 public final class Listener extends NioServerSocketChannel {
   /**
-   * Takes in all who wait, and closes; on the loop. Who comes between the last look and the close,
-   * which takes effect at the loop's next turn, is still reset.
+   * Takes in who waits, and closes if that were all; on the loop. Who comes between the last look
+   * and the close, which takes effect at the loop's next turn, is still reset.
+   *
+   * @param most how many may be taken in
+   * @return whether it is closed; otherwise somebody may wait still
    */
-  public void closeEmpty() {
+  public boolean closeEmpty(int most) {
     List<Object> waiting = new ArrayList<>();
+    boolean empty = false;
     try {
-      while (doReadMessages(waiting) > 0) {
+      while (!empty && waiting.size() < most) {
         // One at a time, until there is none.
+        empty = doReadMessages(waiting) <= 0;
       }
     } catch (Exception e) {
-      // Out of descriptors, for one: who could not be taken in is lost with the close.
+      // Out of descriptors, for one: who could not be taken in waits on.
       pipeline().fireExceptionCaught(e);
     }
-    close();
+    if (empty) {
+      close();
+    }
     waiting.forEach(pipeline()::fireChannelRead);
     pipeline().fireChannelReadComplete();
+    return empty;
   }
 }
--- a/src/main/java/hazelspoke/node/Gateway.java
+++ b/src/main/java/hazelspoke/node/Gateway.java
@@ -11,6 +11,7 @@
 import hazelspoke.discovery.DiscoveryClient;
 import hazelspoke.front.http.ClientServer;
 import hazelspoke.net.Transport;
+import hazelspoke.net.Turns;
 import hazelspoke.takeover.Succession;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.EventLoop;
@@ -51,9 +52,12 @@
   private static final long ACCEPT_ON_MS = 500;
 
   /**
-   * SIGKILL may come this long after the longest deadline at the earliest: 700 ms, less a margin.
+   * SIGKILL may come this long after the longest deadline at the earliest: 700 ms, less a margin
+   * and the time for the last answers.
    */
-  private static final long DRAIN_MARGIN_MS = 600;
+  private static final long DRAIN_MARGIN_MS = 550;
+
+  private static final long LAST_WORDS_MS = 50;
 
   private static final long DRAIN_CHECK_MS = 20;
 
@@ -385,11 +389,16 @@
           } else {
             clients.drain();
           }
-          loop.schedule(this::stopListening, ACCEPT_ON_MS, TimeUnit.MILLISECONDS);
+          loop.schedule(
+              () -> Turns.afterReading(loop, this::stopListening),
+              ACCEPT_ON_MS,
+              TimeUnit.MILLISECONDS);
         });
     try {
       if (!drained.await(mostMs, TimeUnit.MILLISECONDS)) {
-        log.line("left with requests unanswered");
+        // What is given up on is answered: as failed, while there still is a moment.
+        loop.execute(dispatcher::failAll);
+        drained.await(LAST_WORDS_MS, TimeUnit.MILLISECONDS);
       }
     } catch (InterruptedException e) {
       Thread.currentThread().interrupt();
@@ -413,14 +422,16 @@
 
   private void stopListening() {
     clients.stopListening();
-    loop.scheduleAtFixedRate(
-        () -> {
-          if (!clients.isBusy()) {
-            drained.countDown();
-          }
-        },
+    loop.scheduleWithFixedDelay(
+        () -> Turns.afterReading(loop, this::checkDrained),
         DRAIN_CHECK_MS,
         DRAIN_CHECK_MS,
         TimeUnit.MILLISECONDS);
   }
+
+  private void checkDrained() {
+    if (clients.isSettled()) {
+      drained.countDown();
+    }
+  }
 }
--- /dev/null
+++ b/src/test/java/hazelspoke/node/GoneClientsTest.java
@@ -0,0 +1,253 @@
+package hazelspoke.node;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.io.IOException;
+import java.net.Socket;
+import java.util.concurrent.CountDownLatch;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
+
+/** Requests whose clients leave while they wait: nothing is sent on for them, nothing is kept. */
+class GoneClientsTest {
+  /** How a client may leave. */
+  enum Leave {
+    CLOSE,
+    HALF_CLOSE,
+    RESET;
+
+    void of(Socket client) throws IOException {
+      if (this == HALF_CLOSE) {
+        client.shutdownOutput();
+      } else {
+        if (this == RESET) {
+          client.setSoLinger(true, 0);
+        }
+        client.close();
+      }
+    }
+  }
+
+  private static FakeServer answering() throws IOException {
+    return new FakeServer((head, out) -> FakeServer.answer(out, FakeServer.ok("done")));
+  }
+
+  /** Nothing of them is in hand, and the gateway serves on, with the next request alone. */
+  private static void assertForgotten(Rig rig, FakeServer host) throws Exception {
+    int asked = host.heads.size();
+    rig.turns();
+    assertThat(rig.figure("in_progress")).isZero();
+    assertThat(rig.ask(Rig.look(Rig.id(), ""))).contains(" 200 ");
+    assertThat(host.heads).hasSize(asked + 1);
+  }
+
+  /** Request and end lie in the kernel when the loop comes to read, and a connection is at hand. */
+  @ParameterizedTest
+  @EnumSource
+  void whileTheLoopStandsStill(Leave leave) throws Exception {
+    try (FakeServer host = answering();
+        FakeServer discovery = Rig.discovery(Rig.list(1, host));
+        Rig rig = new Rig(160, discovery, host);
+        Socket client = rig.connect();
+        Socket fresh = rig.connect()) {
+      Rig.send(client, Rig.look(Rig.id(), ""));
+      assertThat(Rig.receive(client)).contains(" 200 ");
+      rig.turns();
+      CountDownLatch goOn = new CountDownLatch(1);
+      rig.gateway.loop.execute(() -> Rig.hold(goOn));
+      Rig.send(client, Rig.look(Rig.id(), ""));
+      leave.of(client);
+      Rig.send(fresh, Rig.look(Rig.id(), ""));
+      leave.of(fresh);
+      goOn.countDown();
+      rig.turns();
+      assertThat(host.heads).hasSize(1);
+      assertForgotten(rig, host);
+    }
+  }
+
+  /** It waits with its end in the kernel until there is room for it. */
+  @ParameterizedTest
+  @EnumSource
+  void beforeItIsLetIn(Leave leave) throws Exception {
+    CountDownLatch goOn = new CountDownLatch(1);
+    try (FakeServer host = Rig.holdingHost("/dispatch/wait", goOn);
+        FakeServer discovery = Rig.discovery(Rig.list(1, host));
+        Rig rig = new Rig(60 + 56 + Operators.DESCRIPTORS, discovery, host)) {
+      Socket[] first = new Socket[20];
+      for (int i = 0; i < first.length; i++) {
+        first[i] = rig.connect();
+        Rig.send(first[i], Rig.dispatch(Rig.id(), "").replace("/dispatch ", "/dispatch/wait "));
+        int taken = i + 1;
+        Rig.await("in hand", () -> host.heads.size() == taken);
+      }
+      try (Socket late = rig.connect()) {
+        Rig.send(late, Rig.look(Rig.id(), ""));
+        leave.of(late);
+        rig.turns();
+        goOn.countDown();
+        for (Socket socket : first) {
+          assertThat(Rig.receive(socket)).contains(" 200 ");
+          socket.close();
+        }
+        rig.turns();
+        assertThat(host.heads).hasSize(first.length);
+        assertForgotten(rig, host);
+      }
+    } finally {
+      goOn.countDown();
+    }
+  }
+
+  /** The module holds it, as there is no host; one comes when the client has left. */
+  @ParameterizedTest
+  @EnumSource
+  void whileItIsHeld(Leave leave) throws Exception {
+    try (FakeServer host = answering();
+        LiveList discovery = new LiveList(Rig.list(1, true));
+        Rig rig = new Rig(160, discovery.server);
+        Socket client = rig.connect()) {
+      Rig.await("the list", () -> discovery.told() == 1);
+      Rig.send(client, Rig.look(Rig.id(), ""));
+      Rig.await("it is taken", () -> rig.figure("in_progress") == 1);
+      leave.of(client);
+      rig.turns();
+      assertThat(rig.figure("in_progress")).isZero();
+      discovery.tell(Rig.list(2, false, Rig.entry(host.address(), "Ready")));
+      Rig.await("the host is known", () -> rig.figure("known_hosts") == 1);
+      rig.turns();
+      assertThat(host.heads).isEmpty();
+      assertForgotten(rig, host);
+    }
+  }
+
+  /** The list brings a host in the same turn in which the client's end is read. */
+  @ParameterizedTest
+  @EnumSource
+  void whileItIsHeldAndTheLoopStandsStill(Leave leave) throws Exception {
+    try (FakeServer host = answering();
+        LiveList discovery = new LiveList(Rig.list(1, true));
+        Rig rig = new Rig(160, discovery.server);
+        Socket client = rig.connect()) {
+      Rig.await("the list", () -> discovery.told() == 1);
+      Rig.send(client, Rig.look(Rig.id(), ""));
+      Rig.await("it is taken", () -> rig.figure("in_progress") == 1);
+      CountDownLatch goOn = new CountDownLatch(1);
+      rig.gateway.loop.execute(() -> Rig.hold(goOn));
+      discovery.tell(Rig.list(2, false, Rig.entry(host.address(), "Ready")));
+      leave.of(client);
+      goOn.countDown();
+      Rig.await("the host is known", () -> rig.figure("known_hosts") == 1);
+      rig.turns();
+      assertThat(host.heads).isEmpty();
+      assertForgotten(rig, host);
+    }
+  }
+
+  /** Its connection to the host comes up once the client has left. */
+  @ParameterizedTest
+  @EnumSource
+  void whileItWaitsForAConnection(Leave leave) throws Exception {
+    try (LateListener late = new LateListener();
+        LiveList discovery = new LiveList(Rig.list(1, true, Rig.entry(late.address(), "Ready")));
+        Rig rig = new Rig(160, discovery.server);
+        Socket client = rig.connect()) {
+      Rig.await("the list", () -> rig.figure("known_hosts") == 1);
+      Rig.send(client, Rig.look(Rig.id(), ""));
+      Rig.await("it is taken", () -> rig.figure("in_progress") == 1);
+      rig.turns();
+      leave.of(client);
+      rig.turns();
+      assertThat(rig.figure("in_progress")).isZero();
+      assertThat(late.letIn()).isZero();
+      assertThat(rig.figure("upstream_tries")).isZero();
+    }
+  }
+
+  /** A failed attempt and the client's end are read in the same turn. */
+  @ParameterizedTest
+  @EnumSource
+  void betweenTwoAttempts(Leave leave) throws Exception {
+    CountDownLatch fail = new CountDownLatch(1);
+    CountDownLatch failed = new CountDownLatch(1);
+    try (FakeServer first =
+            new FakeServer(
+                (head, out) -> {
+                  Rig.hold(fail);
+                  FakeServer.answer(out, "HTTP/1.1 500 no\r\nContent-Length: 0\r\n\r\n");
+                  failed.countDown();
+                  return true;
+                });
+        FakeServer second = answering();
+        LiveList discovery = new LiveList(Rig.list(1, true, Rig.entry(first.address(), "Ready")));
+        Rig rig = new Rig(160, discovery.server);
+        Socket client = rig.connect()) {
+      Rig.await("the list", () -> rig.figure("known_hosts") == 1);
+      Rig.send(client, Rig.look(Rig.id(), ""));
+      Rig.await("the first has it", () -> first.heads.size() == 1);
+      discovery.tell(
+          Rig.list(
+              2,
+              true,
+              Rig.entry(first.address(), "Terminating"),
+              Rig.entry(second.address(), "Ready")));
+      Rig.await("both are known", () -> rig.figure("known_hosts") == 2);
+      CountDownLatch goOn = new CountDownLatch(1);
+      rig.gateway.loop.execute(() -> Rig.hold(goOn));
+      fail.countDown();
+      Rig.hold(failed);
+      leave.of(client);
+      goOn.countDown();
+      rig.turns();
+      rig.turns();
+      assertThat(second.heads).isEmpty();
+      assertForgotten(rig, second);
+    }
+  }
+
+  /** What comes ahead of an answer is not sent on either, once the client that reads none left. */
+  @Test
+  void whileItStandsBehindAnAnswerThatIsNotRead() throws Exception {
+    String large = FakeServer.ok("x".repeat(16 << 20));
+    try (FakeServer host =
+            new FakeServer(
+                (head, out) ->
+                    FakeServer.answer(
+                        out, head.contains("large") ? large : FakeServer.ok("done")));
+        FakeServer discovery = Rig.discovery(Rig.list(1, host));
+        Rig rig = new Rig(160, discovery, host);
+        Socket client = rig.connect()) {
+      Rig.send(client, Rig.look(Rig.id(), "").replace("/look ", "/look/large "));
+      Rig.await("its answer has begun", () -> rig.figure("passed.look") == 1);
+      Rig.send(client, Rig.look(Rig.id(), ""));
+      rig.turns();
+      client.setSoLinger(true, 0);
+      client.close();
+      rig.turns();
+      assertThat(host.heads).hasSize(1);
+      assertForgotten(rig, host);
+    }
+  }
+
+  /** The rest of its body never comes: no host is left with a request that might run. */
+  @ParameterizedTest
+  @EnumSource
+  void inMidUpload(Leave leave) throws Exception {
+    try (FakeServer host = answering();
+        FakeServer discovery = Rig.discovery(Rig.list(1, host));
+        Rig rig = new Rig(160, discovery, host);
+        Socket client = rig.connect()) {
+      int length = 1 << 20;
+      Rig.send(client, Rig.dispatch(Rig.id(), "Content-Length: " + length + "\r\n"));
+      Rig.send(client, "x".repeat(length / 2));
+      Rig.await("it has begun at the host", () -> host.connections.get() == 1);
+      rig.turns();
+      leave.of(client);
+      Rig.await("it is over", () -> rig.figure("in_progress") == 0);
+      rig.turns();
+      assertThat(host.heads).isEmpty();
+      assertForgotten(rig, host);
+    }
+  }
+}
--- a/src/test/java/hazelspoke/node/Rig.java
+++ b/src/test/java/hazelspoke/node/Rig.java
@@ -19,6 +19,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.BooleanSupplier;
+import java.util.function.UnaryOperator;
 
 /** A gateway between fakes, all on loopback. */
 final class Rig implements AutoCloseable {
@@ -39,11 +40,17 @@
 
   /** {@code hosts} are what the gateway knows of at its start. */
   Rig(int sockets, FakeServer discovery, FakeServer... hosts) throws Exception {
+    this(sockets, discovery, config -> config, hosts);
+  }
+
+  /** With other settings from the start. */
+  Rig(int sockets, FakeServer discovery, UnaryOperator<String> settings, FakeServer... hosts)
+      throws Exception {
     ResourceLeakDetector.setLevel(ResourceLeakDetector.Level.PARANOID);
     file = Files.createTempFile("gateway", ".json");
     environment = Map.of("NODE_CONFIG", file.toString(), "NODE_MANAGEMENT", "127.0.0.1:0");
     known = list(1, hosts);
-    configure(config(sockets, discovery.address()));
+    configure(settings.apply(config(sockets, discovery.address())));
     gateway =
         new Gateway(GatewayConfig.read(environment), new PrintStream(log, true), Transport.TCP);
     operators = gateway.openToOperators();
