--- a/src/main/java/hazelspoke/node/Gateway.java
+++ b/src/main/java/hazelspoke/node/Gateway.java
@@ -59,6 +59,9 @@
 
   private static final long LAST_WORDS_MS = 50;
 
+  /** Nor is a longer deadline waited for than this, which SIGKILL need not do either. */
+  static final long MOST_DEADLINE_MS = 3_000;
+
   private static final long DRAIN_CHECK_MS = 20;
 
   /** As often as this operators' figures of hosts are brought up to date. */
@@ -70,6 +73,10 @@
   }
 
   private GatewayConfig config;
+
+  /** The longest deadline that a leave waits for; tests that hold requests up have more time. */
+  long mostDeadlineMs = MOST_DEADLINE_MS;
+
   private final EventLoopGroup group =
       new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
   final EventLoop loop = group.next();
@@ -378,7 +385,8 @@
    * when nothing is owed any more, or when it has to be over.
    */
   public void drain() {
-    long mostMs = (long) classes.longestDeadlineMs(clock.nowMs()) + DRAIN_MARGIN_MS;
+    double longestMs = Math.min(mostDeadlineMs, classes.longestDeadlineMs(clock.nowMs()));
+    long mostMs = (long) longestMs + DRAIN_MARGIN_MS;
     boolean followed = succession != null && succession.isFollowed();
     loop.execute(
         () -> {
--- a/src/test/java/hazelspoke/node/LeaveTest.java
+++ b/src/test/java/hazelspoke/node/LeaveTest.java
@@ -119,6 +119,27 @@
     }
   }
 
+  /** SIGKILL may come 3.7 s after SIGTERM, however long the deadlines are. */
+  @Test
+  void deadlinesOfMoreThanThreeSecondsAreNotWaitedFor() throws Exception {
+    CountDownLatch never = new CountDownLatch(1);
+    try (FakeServer host = Rig.holdingHost("/dispatch/wait", never);
+        FakeServer discovery = Rig.discovery(Rig.list(1, host));
+        Rig rig = new Rig(160, discovery, host);
+        Socket client = rig.connect()) {
+      rig.gateway.mostDeadlineMs = Gateway.MOST_DEADLINE_MS;
+      Rig.send(client, waits());
+      Rig.await("the host has it", () -> host.heads.size() == 1);
+      // The host answers never, and the client's time is 20 s.
+      long begin = System.nanoTime();
+      rig.leave();
+      assertThat(System.nanoTime() - begin).isLessThan(TimeUnit.SECONDS.toNanos(15));
+      assertThat(Rig.receive(client)).matches("(?s)HTTP/1.1 50[24] .*");
+    } finally {
+      never.countDown();
+    }
+  }
+
   /** Nothing has been asked on it: it is waited for a moment, and not for ever. */
   @Test
   void aClientThatNeverSpeaksDoesNotHoldTheLeaveUp() throws Exception {
--- a/src/test/java/hazelspoke/node/Rig.java
+++ b/src/test/java/hazelspoke/node/Rig.java
@@ -53,6 +53,7 @@
     configure(settings.apply(config(sockets, discovery.address())));
     gateway =
         new Gateway(GatewayConfig.read(environment), new PrintStream(log, true), Transport.TCP);
+    gateway.mostDeadlineMs = PATIENCE_MS;
     operators = gateway.openToOperators();
     folder = Files.createTempDirectory("gateway");
     gateway.joinSuccession(succession(1));
--- a/src/test/java/hazelspoke/node/TakeoverTest.java
+++ b/src/test/java/hazelspoke/node/TakeoverTest.java
@@ -27,6 +27,7 @@
     Gateway next =
         new Gateway(
             GatewayConfig.read(rig.environment), new PrintStream(rig.log, true), Transport.TCP);
+    next.mostDeadlineMs = Rig.PATIENCE_MS;
     next.openToOperators();
     next.joinSuccession(rig.succession(2));
     next.start();
