Write no repeat of a keyed request once the window of its key is over

Cause: the module holds the window at its decision (Pending.effectAllows), and the request is written when its connection has come up, up to connect_timeout later. Where a class has a window shorter than its deadline, or hosts whose connections come up late, the second try can reach a host that has forgotten the first: an effect twice.

Change: an attempt of a keyed request knows until when it may be written, counted from the first that may have run, and HostClient asks it when its turn has come (HostCall.mayBegin); too late, it ends as never sent and the module decides anew.

--- a/src/main/java/hazelspoke/back/http/HostClient.java
+++ b/src/main/java/hazelspoke/back/http/HostClient.java
@@ -183,6 +183,9 @@
     private void begin() {
       if (over) {
         connection.close();
+      } else if (!call.mayBegin()) {
+        connection.close();
+        fail(Result.NOT_SENT);
       } else {
         begun = true;
         connection.begin(call);
--- a/src/main/java/hazelspoke/core/Dispatcher.java
+++ b/src/main/java/hazelspoke/core/Dispatcher.java
@@ -298,6 +298,23 @@
     attempt.go(timeoutMs > 0 ? Math.min(timeoutMs, mostMs) : mostMs);
   }
 
+  /**
+   * Until when one more attempt may be written: hosts drop the repeat of a request with a key for
+   * as long as the window of its class, counted from the first that may have run. The module sees
+   * to it at its decision, and the connection may come up much later.
+   */
+  private double repeatBy(Exchange x) {
+    double by = Double.POSITIVE_INFINITY;
+    if (!x.ended && x.request().effect() == Settings.Effect.BY_KEY) {
+      int c = x.request().requestClass();
+      double windowMs = settings.classes().get(c).windowMs() - settings.tickMs();
+      for (Attempt earlier : x.attempts) {
+        by = earlier.mayRun ? Math.min(by, earlier.startedAt + windowMs) : by;
+      }
+    }
+    return by;
+  }
+
   /**
    * How long an attempt is waited for: until what is said then still gets to the client. One that
    * begins later than that has half of what is left.
@@ -399,9 +416,16 @@
     private final int number;
     private final double startedAt;
     private final double lostBefore = lag.lostMs();
+
+    /** Until when it may be written. */
+    private final double beginBy;
+
     private Hosts.Ticket ticket;
     private boolean over;
 
+    /** Whether its host may have run it, or may yet. */
+    private boolean mayRun = true;
+
     /** Of a request that was not whole: how long its host waited for the last byte. */
     private double uploadMs;
 
@@ -410,6 +434,7 @@
       this.host = host;
       number = x.attempts.size();
       startedAt = now;
+      beginBy = repeatBy(x);
     }
 
     private void go(double timeoutMs) {
@@ -449,6 +474,11 @@
       }
     }
 
+    @Override
+    public boolean mayBegin() {
+      return clock.nowMs() < beginBy;
+    }
+
     /** At once as far as its host is concerned; the module hears of it on a later turn. */
     private void stopSoon() {
       loop.execute(this::stop);
@@ -508,6 +538,7 @@
         return;
       }
       over = true;
+      mayRun = !result.neverRan();
       timers.remove(this);
       x.out--;
       if (x.ended && x.out == 0) {
@@ -554,6 +585,11 @@
       return null;
     }
 
+    @Override
+    public boolean mayBegin() {
+      return true;
+    }
+
     @Override
     public double remainingMs() {
       return TIMEOUT_MS;
--- a/src/main/java/hazelspoke/core/HostCall.java
+++ b/src/main/java/hazelspoke/core/HostCall.java
@@ -10,6 +10,9 @@
   /** What is asked, for as long as it may have to be written; null asks for the host's load. */
   Request request();
 
+  /** Whether it may still be written; asked when its turn has come, and no means it never ran. */
+  boolean mayBegin();
+
   /** How long an answer is awaited from now on, in milliseconds; asked when it is written. */
   double remainingMs();
 
--- a/src/test/java/hazelspoke/node/LiveList.java
+++ b/src/test/java/hazelspoke/node/LiveList.java
@@ -12,10 +12,28 @@
   private final List<OutputStream> watches = new CopyOnWriteArrayList<>();
   private volatile String list;
   private volatile boolean silent;
+  private volatile boolean closed;
 
   LiveList(String list) throws IOException {
     this.list = list;
     server = new FakeServer(this::call);
+    Thread lines = new Thread(this::keepAlive);
+    lines.setDaemon(true);
+    lines.start();
+  }
+
+  /** While nothing changes an empty line comes now and then, unless it is silent. */
+  private void keepAlive() {
+    try {
+      while (!closed) {
+        Thread.sleep(500);
+        if (!silent) {
+          tell("");
+        }
+      }
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
   }
 
   private boolean call(String head, OutputStream out) throws IOException {
@@ -47,7 +65,7 @@
   }
 
   /** Writes a line to whoever watches still. */
-  void tell(String line) {
+  synchronized void tell(String line) {
     for (OutputStream watch : watches) {
       try {
         FakeServer.answer(watch, chunk(line));
@@ -63,6 +81,7 @@
 
   @Override
   public void close() throws IOException {
+    closed = true;
     server.close();
   }
 }
