Count clients that left before and after a host had their request

Need: the issue asks for a figure of those that leave while they wait. svc.left.waiting and svc.left.sent, by whether the last byte of any attempt had gone out; GoneClientsTest holds both.

--- a/src/main/java/hazelspoke/core/Dispatcher.java
+++ b/src/main/java/hazelspoke/core/Dispatcher.java
@@ -245,8 +245,9 @@
     if (x.ended) {
       return;
     }
+    boolean sent = x.attempts.stream().anyMatch(a -> a.wasSent);
     end(x);
-    meter.gone();
+    meter.gone(sent);
     decide(x, () -> balancer.onClientGone(clock.nowMs(), x.id));
   }
 
@@ -423,6 +424,9 @@
     private Hosts.Ticket ticket;
     private boolean over;
 
+    /** Whether its last byte went out, whatever became of it. */
+    private boolean wasSent;
+
     /** Whether its host may have run it, or may yet. */
     private boolean mayRun = true;
 
@@ -510,6 +514,7 @@
 
     @Override
     public void sent() {
+      wasSent = true;
       Request request = x.request();
       if (request != null && request.body().rest() != null) {
         uploadMs = clock.nowMs() - startedAt;
--- a/src/main/java/hazelspoke/core/Meter.java
+++ b/src/main/java/hazelspoke/core/Meter.java
@@ -15,7 +15,7 @@
         public void answered(int requestClass, Answer.Outcome outcome) {}
 
         @Override
-        public void gone() {}
+        public void gone(boolean sent) {}
 
         @Override
         public void sent() {}
@@ -30,8 +30,8 @@
   /** A request was given its answer. */
   void answered(int requestClass, Answer.Outcome outcome);
 
-  /** The client of a request left before it had its answer. */
-  void gone();
+  /** The client of a request left before it had its answer; whether any host had got it. */
+  void gone(boolean sent);
 
   /** An attempt was written whole to a host. */
   void sent();
--- a/src/main/java/hazelspoke/core/package-info.java
+++ b/src/main/java/hazelspoke/core/package-info.java
@@ -45,6 +45,11 @@
  * may have let go of it. A back must never say of a call that it did not run ({@code
  * CONNECT_FAILED}, {@code NOT_SENT}, {@code REJECTED}) unless that is proven.
  *
+ * <p>When its turn has come, after the sockets were read once more, a back asks a call whether it
+ * {@link hazelspoke.core.HostCall#mayBegin may begin}; otherwise it ends as not sent. Until then,
+ * as {@link hazelspoke.core.Hosts.Ticket#isBegun isBegun} says, the core takes it back when its
+ * client leaves or its host wants nothing new.
+ *
  * <p>A call says {@link hazelspoke.core.HostCall#sent sent} when its last byte was handed over. A
  * request whose rest has begun to go to one host can go to no other: a further attempt ends as not
  * sent. An answer with a rest has ended its call with its beginning; if the rest does not come, the
--- a/src/main/java/hazelspoke/operations/Figures.java
+++ b/src/main/java/hazelspoke/operations/Figures.java
@@ -34,6 +34,8 @@
   private final MetricRegistry registry = new MetricRegistry();
   private final Counter inProgress = registry.counter("in_progress");
   private final Counter tries = registry.counter("upstream_tries");
+  private final Counter leftSent = registry.counter("left.sent");
+  private final Counter leftWaiting = registry.counter("left.waiting");
   private final Counter loads = registry.counter("loads");
   private final Counter loadErrors = registry.counter("load_errors");
   private final List<OfClass> classes = new ArrayList<>();
@@ -75,8 +77,9 @@
   }
 
   @Override
-  public void gone() {
+  public void gone(boolean sent) {
     inProgress.dec();
+    (sent ? leftSent : leftWaiting).inc();
   }
 
   @Override
--- a/src/test/java/hazelspoke/node/GoneClientsTest.java
+++ b/src/test/java/hazelspoke/node/GoneClientsTest.java
@@ -63,6 +63,8 @@
       goOn.countDown();
       rig.turns();
       assertThat(host.heads).hasSize(1);
+      assertThat(rig.figure("left.waiting")).isEqualTo(2);
+      assertThat(rig.figure("left.sent")).isZero();
       assertForgotten(rig, host);
     }
   }
@@ -202,6 +204,7 @@
       rig.turns();
       rig.turns();
       assertThat(second.heads).isEmpty();
+      assertThat(rig.figure("left.sent")).isEqualTo(1);
       assertForgotten(rig, second);
     }
   }
--- a/src/test/java/hazelspoke/node/LiveList.java
+++ b/src/test/java/hazelspoke/node/LiveList.java
@@ -5,11 +5,13 @@
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.atomic.AtomicInteger;
 
 /** A discovery whose watches a test goes on writing to, or that hears calls and says nothing. */
 final class LiveList implements AutoCloseable {
   final FakeServer server;
   private final List<OutputStream> watches = new CopyOnWriteArrayList<>();
+  private final AtomicInteger told = new AtomicInteger();
   private volatile String list;
   private volatile boolean silent;
   private volatile boolean closed;
@@ -36,10 +38,11 @@
     }
   }
 
-  private boolean call(String head, OutputStream out) throws IOException {
+  private synchronized boolean call(String head, OutputStream out) throws IOException {
     if (!silent) {
       FakeServer.answer(out, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + chunk(list));
       watches.add(out);
+      told.incrementAndGet();
     }
     return true;
   }
@@ -51,7 +54,7 @@
 
   /** How many watches were told the list at their beginning. */
   int told() {
-    return watches.size();
+    return told.get();
   }
 
   /** From now on calls are taken and not answered; or they are again. */
@@ -59,9 +62,10 @@
     silent = on;
   }
 
-  /** What new watches are told first. */
-  void becomes(String next) {
+  /** What new watches are told first; those so far stay open and hear nothing any more. */
+  synchronized void becomes(String next) {
     list = next;
+    watches.clear();
   }
 
   /** Writes a line to whoever watches still. */
