--- a/src/test/java/hazelspoke/node/Rig.java
+++ b/src/test/java/hazelspoke/node/Rig.java
@@ -192,9 +192,11 @@
     leaving.start();
     await("told to leave", () -> log.toString().contains("taking leave"));
     CountDownLatch over = new CountDownLatch(1);
-    // Its own timers come in their order: what it does at 500 ms is done by then.
+    // Its own timers come in their order: what it does at 500 ms has begun by then, and is done
+    // once its sockets were read again.
     gateway.loop.schedule(over::countDown, 700, TimeUnit.MILLISECONDS);
     hold(over);
+    turns();
     return leaving;
   }
 
