Ask anew after silence also while the first call of a start is still to come

Cause, seen in a test over loopback that was to show the mend of silent watches and failed with it: Membership.callIn did nothing while a timer was set, and the timer of the first call may be 0.8 of must_ask_in off. A watch that was opened before it, by a new configuration or beside an older process, and fell silent was opened anew only then; on the site up to 8 s after the start, with a longer must_ask_in minutes later, where what it missed counts as told 6 s after the silence began.

Change: silence sets its own timer whatever is set; the one that comes first calls, and the other finds it done.

Test: ListEndingsTest.aSilentWatchIsOpenedAnew..., with must_ask_in of 20 minutes: fails with either half of the mend taken away (31 s, seen once each). ternscale tests pass.

--- a/src/main/java/ternscale/policy/Membership.java
+++ b/src/main/java/ternscale/policy/Membership.java
@@ -53,15 +53,14 @@
         || update.kind() == MembersUpdate.Kind.CACHED) {
       return;
     }
-    if (update.kind().isNews()) {
-      failures = 0;
-      return;
-    }
     // A failure names no call: whether ours failed or the subscription broke, ask again later.
     boolean silent = update.kind() == MembersUpdate.Kind.SILENT;
-    failures = silent ? failures : Math.min(failures + 1, 4);
+    failures = update.kind().isNews() ? 0 : silent ? failures : Math.min(failures + 1, 4);
+    waiting &= !silent; // For a first call that may be minutes off.
     double most = BACK_OFF * settings.rules().mustAskInMs() * (1 << Math.max(0, failures - 1));
-    callIn(Math.min(most, silent ? UNHEARD_MS : most) * (1 + 2 * random.nextDouble()) / 3);
+    if (!update.kind().isNews()) {
+      callIn(Math.min(most, silent ? UNHEARD_MS : most) * (1 + 2 * random.nextDouble()) / 3);
+    }
   }
 
   private void callIn(double delayMs) {
--- a/src/test/java/hazelspoke/node/ListEndingsTest.java
+++ b/src/test/java/hazelspoke/node/ListEndingsTest.java
@@ -127,6 +127,33 @@
     }
   }
 
+  /**
+   * Where discovery is asked and a gateway may be without news for 20 minutes: a watch that fell
+   * silent is opened anew all the same, long before a part of those.
+   */
+  @Test
+  void aSilentWatchIsOpenedAnewHoweverLongTheSettingsAllowForAsking() throws Exception {
+    try (FakeServer first = answering("first");
+        FakeServer second = answering("second");
+        FakeServer nobody = Rig.discovery(Rig.list(1));
+        LiveList discovery = new LiveList(Rig.list(1, true, Rig.entry(first.address(), READY)));
+        Rig rig = new Rig(160, nobody, ListEndingsTest::asked)) {
+      // The first call of a start is spread over those minutes; a new configuration calls at once.
+      rig.configure(asked(rig.config(160, discovery.address())));
+      rig.gateway.reload(rig.environment);
+      Rig.await("the list", () -> rig.figure("known_hosts") == 1);
+      discovery.becomes(Rig.list(2, true, Rig.entry(second.address(), READY)));
+      Rig.await("another watch", () -> discovery.told() == 2);
+      Rig.await("the new list", () -> served(rig).endsWith("second"));
+    }
+  }
+
+  private static String asked(String config) {
+    return config
+        .replace("\"pushed\"", "\"on_request\"")
+        .replace("\"must_ask_in\":10000", "\"must_ask_in\":1200000");
+  }
+
   /** Bytes that make no line are no sign of life: a watch that trickles is as good as silent. */
   @Test
   void aWatchThatTricklesBytesAndNoLinesIsOpenedAnew() throws Exception {
