Measure by size what grows with the fleet: bench scale, with hollow members over loopback

Need: the fleet ahead has 540 gateways before 4,600 hosts in 110 services, and no figure here says by how much anything grows. Processor times are the threads' own counts. For it FleetNode can share a loop and counts the bytes of its frames, and HostListReader is public.

--- a/src/main/java/hazelspoke/agreement/net/FleetNode.java
+++ b/src/main/java/hazelspoke/agreement/net/FleetNode.java
@@ -4,9 +4,11 @@
 import hazelspoke.agreement.member.WrongFolderException;
 import hazelspoke.agreement.store.FileDisk;
 import io.netty.channel.EventLoop;
+import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
 import io.netty.util.concurrent.DefaultThreadFactory;
+import io.netty.util.concurrent.Future;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.channels.FileChannel;
@@ -27,6 +29,9 @@
 
 /** A gateway's membership of its fleet, with a thread, a listener and a folder of its own. */
 public final class FleetNode implements AutoCloseable {
+  /** What its thread is named after, where it has one of its own. */
+  public static final String THREAD = "fleet";
+
   private static final String LOCK = "lock";
   private static final int MOST_LINES_A_SECOND = 10;
 
@@ -40,12 +45,16 @@
   private final FleetSettings settings;
   private final Consumer<String> log;
   private final Runnable standing;
-  private final MultiThreadIoEventLoopGroup group;
+
+  /** Null where others use the loop too, who then end it. */
+  private final EventLoopGroup group;
+
   private final EventLoop loop;
   private final FileChannel lock;
   private final Peers peers;
   private final OperatorCalls operators;
   private Member member;
+  private Future<?> looking;
   private long toldIn;
   private int told;
   private InetSocketAddress address;
@@ -55,16 +64,19 @@
   private volatile boolean leads;
   private volatile long index;
 
-  private FleetNode(FleetSettings settings, Consumer<String> log, Runnable standing)
+  private FleetNode(
+      FleetSettings settings, EventLoop shared, Consumer<String> log, Runnable standing)
       throws IOException {
     this.settings = settings;
     this.log = log;
     this.standing = standing;
     lock = lock(settings.data());
     group =
-        new MultiThreadIoEventLoopGroup(
-            1, new DefaultThreadFactory("fleet", true), NioIoHandler.newFactory());
-    loop = group.next();
+        shared != null
+            ? null
+            : new MultiThreadIoEventLoopGroup(
+                1, new DefaultThreadFactory(THREAD, true), NioIoHandler.newFactory());
+    loop = shared != null ? shared : group.next();
     operators = new OperatorCalls(settings);
     peers =
         new Peers(
@@ -85,9 +97,18 @@
    * @throws IllegalStateException if it cannot; the message is one line
    */
   public static FleetNode open(FleetSettings settings, Consumer<String> log, Runnable standing) {
+    return open(settings, null, log, standing);
+  }
+
+  /**
+   * The same on a loop that it shares with others and does not end, so that many fit into one
+   * process; null for one of its own. Not to be called on that loop.
+   */
+  public static FleetNode open(
+      FleetSettings settings, EventLoop shared, Consumer<String> log, Runnable standing) {
     FleetNode node;
     try {
-      node = new FleetNode(settings, log, standing);
+      node = new FleetNode(settings, shared, log, standing);
     } catch (IOException e) {
       throw new IllegalStateException("the fleet's data folder: " + e.getMessage(), e);
     }
@@ -147,7 +168,7 @@
             });
     operators.member(member);
     long often = Math.max(1, settings.member().termNanos() / 50);
-    loop.scheduleAtFixedRate(this::look, often, often, TimeUnit.NANOSECONDS);
+    looking = loop.scheduleAtFixedRate(this::look, often, often, TimeUnit.NANOSECONDS);
     return null;
   }
 
@@ -203,6 +224,11 @@
     return index;
   }
 
+  /** The bytes that came from and went to other members and operators; any thread may ask. */
+  public Traffic traffic() {
+    return peers.traffic();
+  }
+
   /** Says that it goes for good, and ends. Returns then, or when the time is over. */
   public void leave(long mostMs) {
     CompletableFuture<Void> gone = new CompletableFuture<>();
@@ -227,14 +253,20 @@
     if (closed.getAndSet(true)) {
       return;
     }
-    loop.execute(
-        () -> {
-          peers.close();
-          if (member != null) {
-            member.stop();
-          }
-        });
-    group.shutdownGracefully(0, 1_000, TimeUnit.MILLISECONDS).awaitUninterruptibly();
+    Future<?> ended =
+        loop.submit(
+            () -> {
+              peers.close();
+              if (member != null) {
+                looking.cancel(false);
+                member.stop();
+              }
+            });
+    if (group == null) {
+      ended.awaitUninterruptibly();
+    } else {
+      group.shutdownGracefully(0, 1_000, TimeUnit.MILLISECONDS).awaitUninterruptibly();
+    }
     try {
       lock.close();
     } catch (IOException e) {
--- a/src/main/java/hazelspoke/agreement/net/Frames.java
+++ b/src/main/java/hazelspoke/agreement/net/Frames.java
@@ -44,8 +44,34 @@
     return new LengthFieldBasedFrameDecoder(longest, 0, LENGTH_BYTES, 0, LENGTH_BYTES);
   }
 
-  static void write(Channel channel, byte[] packet) {
+  private final Counter counter;
+
+  /** Its traffic is counted there. */
+  Frames(Counter counter) {
+    this.counter = counter;
+  }
+
+  /** What all connections of a member carry; counted on its loop, and any thread may look. */
+  static final class Counter {
+    private volatile long in;
+    private volatile long out;
+
+    private void in(int bytes) {
+      in += LENGTH_BYTES + bytes;
+    }
+
+    private void out(int bytes) {
+      out += LENGTH_BYTES + bytes;
+    }
+
+    Traffic traffic() {
+      return new Traffic(in, out);
+    }
+  }
+
+  void write(Channel channel, byte[] packet) {
     if (channel.isActive() && channel.isWritable() && packet.length <= LONGEST_BYTES) {
+      counter.out(packet.length);
       channel.writeAndFlush(channel.alloc().buffer(packet.length).writeBytes(packet));
     }
   }
@@ -56,6 +82,7 @@
 
   @Override
   protected void channelRead0(ChannelHandlerContext context, ByteBuf frame) {
+    counter.in(frame.readableBytes());
     frame(ByteBufUtil.getBytes(frame));
   }
 
@@ -71,7 +98,7 @@
   }
 
   /** For whoever answers on the connection that a packet came by. */
-  static Consumer<byte[]> back(Channel channel) {
+  Consumer<byte[]> back(Channel channel) {
     return packet -> write(channel, packet);
   }
 }
--- a/src/main/java/hazelspoke/agreement/net/Peers.java
+++ b/src/main/java/hazelspoke/agreement/net/Peers.java
@@ -57,6 +57,7 @@
   private final Map<String, InetSocketAddress> addresses;
   private final Random random;
   private final Inbox inbox;
+  private final Frames.Counter counter = new Frames.Counter();
   private final Map<String, Outgoing> outgoing = new HashMap<>();
   private final Map<String, Channel> incoming = new HashMap<>();
 
@@ -81,6 +82,10 @@
     this.inbox = inbox;
   }
 
+  Traffic traffic() {
+    return counter.traffic();
+  }
+
   /** Begins to listen; not to be called on the loop. */
   InetSocketAddress listen(InetSocketAddress at) {
     ChannelFuture binding =
@@ -196,6 +201,7 @@
     private Hello who;
 
     Incoming(Channel channel) {
+      super(counter);
       this.channel = channel;
     }
 
@@ -264,6 +270,7 @@
     private long usedAt;
 
     Outgoing(String member, InetSocketAddress address) {
+      super(counter);
       this.member = member;
       this.address = address;
     }
--- /dev/null
+++ b/src/main/java/hazelspoke/bench/scale/StateScale.java
@@ -0,0 +1,75 @@
+package hazelspoke.bench.scale;
+
+import hazelspoke.agreement.record.Command;
+import hazelspoke.agreement.record.FleetRecord;
+import hazelspoke.agreement.wire.MalformedException;
+import java.lang.management.ManagementFactory;
+import java.lang.management.ThreadMXBean;
+import java.util.ArrayList;
+import java.util.List;
+
+/** The record's state as bytes, and what it takes to write and read it, in this process. */
+final class StateScale {
+  private static final int TIMES = 40;
+  private static final ThreadMXBean THREADS = ManagementFactory.getThreadMXBean();
+
+  private final Figures figures;
+
+  StateScale(Figures figures) {
+    this.figures = figures;
+  }
+
+  /** A record of so many members, notes of 200 characters, and other origins. */
+  private static FleetRecord record(int members, int notes, int origins) {
+    FleetRecord record = new FleetRecord();
+    long index = 0;
+    for (int i = 0; i < members; i++) {
+      String name = Places.name(i);
+      index++;
+      record.apply(
+          index,
+          new Command.Numbered(
+              name + "/0123456789abcdef/1000001",
+              1,
+              new Command.Join(name, "0123456789abcdef", 1 << 24, "10.1.200.200:7400")));
+    }
+    for (int i = 0; i < Math.max(notes, origins); i++) {
+      index++;
+      record.apply(
+          index,
+          new Command.Numbered(
+              "operator/" + (i < origins ? i : 0) + "/0123456789abcdef",
+              i + 1,
+              new Command.Note("n" + i % Math.max(1, notes), -1, "v".repeat(200))));
+    }
+    return record;
+  }
+
+  void play(List<Integer> members) throws MalformedException {
+    for (int size : members) {
+      measure("members alone", size, record(size, 0, 0));
+      measure("members, 256 notes of 200 characters", size, record(size, 256, 0));
+      measure("members, 256 notes, 4,096 origins", size, record(size, 256, 4_096));
+    }
+  }
+
+  private void measure(String what, int members, FleetRecord record) throws MalformedException {
+    byte[] bytes = record.bytes();
+    figures.add("state of " + what + ", KB", "members", members, bytes.length / 1e3);
+    List<Double> write = new ArrayList<>();
+    List<Double> read = new ArrayList<>();
+    for (int i = 0; i < TIMES; i++) {
+      long begun = THREADS.getCurrentThreadCpuTime();
+      byte[] written = record.bytes();
+      long between = THREADS.getCurrentThreadCpuTime();
+      FleetRecord.read(written);
+      long done = THREADS.getCurrentThreadCpuTime();
+      if (i >= TIMES / 2) {
+        write.add((between - begun) / 1e6);
+        read.add((done - between) / 1e6);
+      }
+    }
+    figures.add("writing " + what + ", ms", "members", members, Slope.quantile(write, 0.5));
+    figures.add("reading " + what + ", ms", "members", members, Slope.quantile(read, 0.5));
+  }
+}
--- a/src/main/java/hazelspoke/discovery/HostListReader.java
+++ b/src/main/java/hazelspoke/discovery/HostListReader.java
@@ -17,7 +17,7 @@
  * Reads discovery's objects as their bytes come in. An entry counts as soon as it is whole, also in
  * an object that never ends; the version moves on only with a whole object.
  */
-final class HostListReader {
+public final class HostListReader {
   /** The objects and the array that an entry lies in: the line, its list, the entry. */
   private static final int LINE_DEPTH = 1;
 
@@ -35,7 +35,7 @@
   private long version;
   private int passedOn;
 
-  HostListReader(Names names) throws IOException {
+  public HostListReader(Names names) throws IOException {
     this.names = names;
     parser = new JsonFactory().createNonBlockingByteArrayParser();
   }
@@ -47,7 +47,7 @@
    * @throws IOException for what is no JSON
    * @throws ternscale.adapter.WireException for an entry that cannot be one
    */
-  List<HostList.Update> feed(byte[] bytes) throws IOException {
+  public List<HostList.Update> feed(byte[] bytes) throws IOException {
     List<HostList.Update> out = new ArrayList<>();
     ((ByteArrayFeeder) parser.getNonBlockingInputFeeder()).feedInput(bytes, 0, bytes.length);
     JsonToken t;
