Push entries to members as they are applied, in place of the whole state after each of them

The whole state was written anew and sent whole to each member that renewed after any entry. And when 535 members come at once each is a stranger until it has greeted, of whom a voter kept 16: it closed operators' connections and those of other members that were still greeting.

Change: hazelspoke.agreement.feed. Each voter pushes what it has applied to whoever follows it, encoded once; a member follows any voter, takes entries only in order, and leaves a voter that is silent, removed, or behind what a leader has said. Renewals say up to where the record goes and carry no state. A member says as of when it is current, and of no time before it knows. As many strangers may greet as there are members.

Now an answer waits until the record was told of each entry that the store has up to there.

--- a/src/main/java/hazelspoke/agreement/engine/Engine.java
+++ b/src/main/java/hazelspoke/agreement/engine/Engine.java
@@ -43,8 +43,11 @@
     /** Sends bytes to a voter, or drops them. */
     void send(VoterId to, byte[] message);
 
-    /** An entry was applied, or a snapshot taken over; the engine's record stands there now. */
-    void applied(FleetRecord record);
+    /** An entry was applied; the engine's record stands there now. */
+    void applied(long index, byte[] entry);
+
+    /** A snapshot took the place of the record; the engine's record stands there now. */
+    void installed(long index);
 
     /** This voter has become the leader of a term, or has ceased to be. */
     void leads(boolean leads, int term);
@@ -79,6 +82,7 @@
   private final VoterStore store;
   private final RaftNode node;
   private FleetRecord record = new FleetRecord();
+  private long applied;
   private boolean muted;
   private boolean leads;
   private long leaderHeardAt;
@@ -152,6 +156,14 @@
     return record;
   }
 
+  /**
+   * The index of the last entry or snapshot that the record was told of here; a change of voters is
+   * an entry that it is not told of.
+   */
+  public long applied() {
+    return applied;
+  }
+
   /** Whether it leads, as far as it knows. */
   public boolean leads() {
     return !muted && self.equals(leader());
@@ -306,7 +318,26 @@
       return CompletableFuture.failedFuture(new IllegalStateException("this voter has failed"));
     }
     return node.<Long>query(READ, QueryPolicy.LINEARIZABLE, Optional.empty(), Optional.empty())
-        .thenApply(Ordered::getCommitIndex);
+        .thenCompose(read -> onceApplied(read.getCommitIndex()));
+  }
+
+  /**
+   * MicroRaft 0.7 may answer a question before it applies what was agreed on up to there, as in a
+   * leader that was just elected, with all that it had not known to be agreed on before. So an
+   * answer counts in the turn after, if the record was told of all by then; who asks does so again.
+   */
+  protected CompletableFuture<Long> onceApplied(long index) {
+    CompletableFuture<Long> done = new CompletableFuture<>();
+    turns.execute(
+        () -> {
+          if (muted || !store.isTold(index)) {
+            done.completeExceptionally(
+                new IllegalStateException("this voter has failed, or applies what was agreed on"));
+          } else {
+            done.complete(index);
+          }
+        });
+    return done;
   }
 
   /** Whether a failed {@link #propose} is certain never to come onto the record. */
@@ -413,20 +444,11 @@
       if (operation == READ) {
         return index;
       }
-      byte[] bytes = (byte[]) operation;
-      Answer answer = null;
-      if (bytes.length == 0) {
-        record.pass(index);
-      } else {
-        try {
-          answer = record.apply(index, Command.Numbered.read(bytes));
-        } catch (MalformedException e) {
-          // Of a later version, and the same for all that are of this one.
-          record.pass(index);
-          answer = new Answer(false, 0, e.getMessage());
-        }
-      }
-      owner.applied(record);
+      byte[] entry = (byte[]) operation;
+      Answer answer = record.take(index, entry);
+      applied = index;
+      store.told(index);
+      owner.applied(index, entry);
       return answer;
     }
 
@@ -446,7 +468,9 @@
         return;
       }
       record.pass(index);
-      owner.applied(record);
+      applied = index;
+      store.told(index);
+      owner.installed(index);
     }
 
     @Override
--- a/src/main/java/hazelspoke/agreement/engine/Operations.java
+++ b/src/main/java/hazelspoke/agreement/engine/Operations.java
@@ -22,6 +22,9 @@
 final class Operations {
   static final RaftModelFactory MODELS = new DefaultRaftModelFactory();
 
+  /** The field of an entry that the record is told of; a change of voters has none. */
+  static final String COMMAND = "command";
+
   private Operations() {}
 
   /** A command's bytes as they are, or a change of voters. */
@@ -33,14 +36,14 @@
       out.put("members", texts(change.getMembers()));
       out.put("voting", texts(change.getVotingMembers()));
     } else {
-      out.put("command", operation);
+      out.put(COMMAND, operation);
     }
     return out;
   }
 
   static Object read(Fields in) throws MalformedException {
-    if (in.has("command")) {
-      return in.bytes("command");
+    if (in.has(COMMAND)) {
+      return in.bytes(COMMAND);
     }
     return MODELS
         .createUpdateRaftGroupMembersOpBuilder()
--- a/src/main/java/hazelspoke/agreement/engine/VoterStore.java
+++ b/src/main/java/hazelspoke/agreement/engine/VoterStore.java
@@ -22,6 +22,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
+import java.util.TreeSet;
 import java.util.function.Consumer;
 
 /**
@@ -41,14 +42,35 @@
   /** The terms of the entries that are kept, by the first index that has each. */
   private final TreeMap<Long, Integer> terms = new TreeMap<>();
 
+  /**
+   * The entries that are kept and that the record is still to be told of, if they are agreed on.
+   */
+  private final TreeSet<Long> untold = new TreeSet<>();
+
   /**
    * @param onConflict is run when the disk has let go of entries that the engine still holds
    */
-  VoterStore(RecordStore store, Consumer<IOException> onFailure, Runnable onConflict) {
+  VoterStore(RecordStore store, Consumer<IOException> onFailure, Runnable onConflict)
+      throws MalformedException {
     this.store = store;
     this.onFailure = onFailure;
     this.onConflict = onConflict;
-    store.recovered().entries().forEach(e -> note(e.index(), e.term()));
+    for (Entry entry : store.recovered().entries()) {
+      note(entry.index(), entry.term());
+      if (Cbor.read(entry.data()).has(Operations.COMMAND)) {
+        untold.add(entry.index());
+      }
+    }
+  }
+
+  /** The record was told of all up to this index. */
+  void told(long index) {
+    untold.headSet(index, true).clear();
+  }
+
+  /** Whether the record was told of all that is kept up to this index. */
+  boolean isTold(long index) {
+    return untold.isEmpty() || untold.first() > index;
   }
 
   private void note(long index, int term) {
@@ -158,6 +180,9 @@
             byte[] data = Operations.bytes(Operations.fields(entry.getOperation()));
             store.append(new Entry(entry.getIndex(), entry.getTerm(), data));
             note(entry.getIndex(), entry.getTerm());
+            if (entry.getOperation() instanceof byte[]) {
+              untold.add(entry.getIndex());
+            }
           }
         });
   }
@@ -178,6 +203,7 @@
         () -> {
           if (conflict) {
             store.cutFrom(index);
+            untold.tailSet(index, true).clear();
           }
           store.snapshot(new Snapshot(index, chunk.getTerm(), data));
         });
@@ -190,6 +216,7 @@
   public void truncateLogEntriesFrom(long index) throws IOException {
     run(() -> store.cutFrom(index));
     terms.tailMap(index, true).clear();
+    untold.tailSet(index, true).clear();
   }
 
   /** The store does so with each snapshot. */
--- a/src/main/java/hazelspoke/agreement/member/Leadership.java
+++ b/src/main/java/hazelspoke/agreement/member/Leadership.java
@@ -169,13 +169,13 @@
       case "renew" -> {
         long incarnation = in.number("incarnation");
         long life = in.number("life");
-        long have = in.number("have");
-        confirmed(() -> renew(from, incarnation, life, have, reply, send), send);
+        confirmed(() -> renew(from, incarnation, life, reply, send), send);
       }
       case "read" ->
           confirmed(
               () -> {
-                state(reply, -1);
+                howFar(reply);
+                reply.put("state", engine.record().bytes());
                 send.accept(Calls.Outcome.DONE);
               },
               send);
@@ -197,7 +197,7 @@
             (answer, failure) -> {
               if (failure == null) {
                 reply.put("answer", answer.fields());
-                state(reply, -1);
+                howFar(reply);
               }
               send.accept(failure == null ? Calls.Outcome.DONE : Calls.Outcome.LATER);
             });
@@ -219,7 +219,6 @@
       String from,
       long incarnation,
       long life,
-      long have,
       Map<String, Object> reply,
       Consumer<Calls.Outcome> send) {
     FleetRecord record = engine.record();
@@ -234,16 +233,21 @@
       terms.renewed(session, turns.nanos());
     }
     reply.put("standing", its ? session.standing().name() : "");
-    state(reply, have);
+    howFar(reply);
     send.accept(Calls.Outcome.DONE);
   }
 
-  /** What the record says, unless the caller has just that. */
-  private void state(Map<String, Object> reply, long have) {
+  /**
+   * Up to where the record goes; what it says there, members have from the feed. Only after a
+   * majority has confirmed that this is the leader: who hears it may call itself current.
+   */
+  private void howFar(Map<String, Object> reply) {
+    voters(reply);
+    reply.put("index", engine.applied());
+  }
+
+  private void voters(Map<String, Object> reply) {
     reply.put("voters", engine.voters().stream().map(VoterId::member).distinct().toList());
-    if (engine.record().index() != have) {
-      reply.put("state", engine.record().bytes());
-    }
   }
 
   private void voter(
@@ -252,7 +256,7 @@
     String not = growth.mayNot(add, member, session);
     if (not != null) {
       reply.put("answer", new Answer(false, 0, not).fields());
-      state(reply, -1);
+      voters(reply);
       send.accept(Calls.Outcome.DONE);
       return;
     }
@@ -267,7 +271,7 @@
           if (failure == null || why != null) {
             long index = engine.record().index();
             reply.put("answer", new Answer(why == null, index, why == null ? "" : why).fields());
-            state(reply, index);
+            voters(reply);
           }
           send.accept(reply.containsKey("answer") ? Calls.Outcome.DONE : Calls.Outcome.LATER);
         });
--- a/src/main/java/hazelspoke/agreement/member/Member.java
+++ b/src/main/java/hazelspoke/agreement/member/Member.java
@@ -3,6 +3,9 @@
 import hazelspoke.agreement.engine.Engine;
 import hazelspoke.agreement.engine.Turns;
 import hazelspoke.agreement.engine.VoterId;
+import hazelspoke.agreement.feed.Feed;
+import hazelspoke.agreement.feed.Follower;
+import hazelspoke.agreement.feed.Pace;
 import hazelspoke.agreement.record.Answer;
 import hazelspoke.agreement.record.Command;
 import hazelspoke.agreement.record.FleetRecord;
@@ -55,8 +58,8 @@
   private Founding founding;
   private Engine engine;
   private RecordStore store;
-  private FleetRecord known = new FleetRecord();
-  private long heardAt;
+  private final Feed feed;
+  private final Follower follower;
   private int asked;
   private boolean diskFailed;
   private boolean stopped;
@@ -90,7 +93,6 @@
     this.random = random;
     this.wire = wire;
     this.listener = listener;
-    heardAt = turns.nanos();
     try {
       home = Home.open(disk, settings.fleet(), settings.self(), random);
       openStore();
@@ -102,6 +104,10 @@
     long patience = 4 * settings.heartbeatNanos();
     calls = new Calls(settings, wire, turns, random, patience);
     session = new OwnSession(settings, home, calls, turns, random, this::learn, listener, parts);
+    Pace pace = parts.pace(settings);
+    feed = parts.feed(turns, pace, () -> engine.record());
+    follower =
+        parts.follower(settings.self(), turns, random, pace, calls::voters, new FollowerOwner());
     leadership = new Leadership(settings, turns, random, wire, listener, parts);
     if (!home.founders().isEmpty()) {
       startEngine();
@@ -112,6 +118,7 @@
       askWho();
     }
     session.begin();
+    follower.begin();
     leadership.tick();
   }
 
@@ -167,8 +174,10 @@
       listener.event("restarts engine leader_silent_ms=" + silent / 1_000_000);
       restartEngine();
     }
+    // As often where it was removed: it may be made a voter again meanwhile.
     turns.after(
-        (long) (settings.heartbeatNanos() * stuck * (0.5 + random.nextDouble())), this::watch);
+        (long) (settings.heartbeatNanos() * parts.stuckHeartbeats() * (0.5 + random.nextDouble())),
+        this::watch);
   }
 
   private void restartEngine() {
@@ -241,6 +250,9 @@
         case Packets.REPLY -> calls.reply(from, in);
         case Packets.INVITE -> invited(in, back);
         case Packets.FILLED -> leadership.filled(from, in);
+        case Packets.FOLLOW -> followed(from, in, back);
+        case Packets.ENTRIES -> follower.entries(from, in);
+        case Packets.PIECE -> follower.piece(from, in);
         default -> listener.event("unknown from=" + from + " kind=" + in.text("kind"));
       }
     } catch (MalformedException e) {
@@ -257,6 +269,13 @@
     }
   }
 
+  /** Where no engine goes on, who follows hears nothing, and finds another voter. */
+  private void followed(String from, Fields in, Consumer<byte[]> back) throws MalformedException {
+    if (engine != null && !diskFailed) {
+      feed.follow(from, in, back);
+    }
+  }
+
   private void iam(String to, String itsHome, Consumer<byte[]> back) throws IOException {
     Map<String, Object> out = Packets.of(Packets.IAM);
     out.put("home", home.name());
@@ -322,17 +341,12 @@
     leadership.ends();
   }
 
-  private long learn(Fields in) throws MalformedException {
-    if (in.has("state")) {
-      FleetRecord newer = FleetRecord.read(in.bytes("state"));
-      if (newer.index() >= known.index()) {
-        known = newer;
-      }
+  private void learn(Calls.Reply reply) throws MalformedException {
+    calls.voters(reply.fields().texts("voters"));
+    if (reply.fields().has("index")) {
+      follower.told(reply.from(), reply.fields().number("index"), reply.askedAt());
     }
-    calls.voters(in.texts("voters"));
-    heardAt = turns.nanos();
     listener.changed();
-    return known.index();
   }
 
   /** Puts a command on the record, once, however often it is asked again for it. */
@@ -352,7 +366,7 @@
         .thenApply(
             reply -> {
               try {
-                learn(reply.fields());
+                learn(reply);
                 return FleetRecord.read(reply.fields().bytes("state"));
               } catch (MalformedException e) {
                 throw new IllegalStateException("unreadable state: " + e.getMessage(), e);
@@ -367,7 +381,7 @@
 
   /** Whether it has joined and read the record as of then or later, in this life. */
   public boolean hasJoined() {
-    return session.incarnation() > 0;
+    return session.incarnation() > 0 && follower.record().index() >= session.joinedAt();
   }
 
   /** Whether its session holds by its own clock; if not it is alone. */
@@ -393,7 +407,8 @@
   /** What is known here. */
   public View view() {
     String leader = leads() ? settings.self() : calls.leader();
-    return new View(known, heardAt, leader == null ? "" : leader, calls.voters());
+    return new View(
+        follower.record(), follower.currentAt(), leader == null ? "" : leader, calls.voters());
   }
 
   /** Says that it goes for good, and stops once that is on the record or the time is over. */
@@ -409,6 +424,7 @@
     stopped = true;
     calls.stop();
     session.stop();
+    follower.stop();
     leadership.ends();
     if (engine != null) {
       engine.stop();
@@ -427,6 +443,23 @@
     }
   }
 
+  private final class FollowerOwner implements Follower.Owner {
+    @Override
+    public void send(String voter, byte[] packet) {
+      wire.send(voter, packet);
+    }
+
+    @Override
+    public void changed() {
+      listener.changed();
+    }
+
+    @Override
+    public void event(String line) {
+      listener.event(line);
+    }
+  }
+
   private final class EngineOwner implements Engine.Owner {
     @Override
     public void send(VoterId to, byte[] message) {
@@ -434,7 +467,14 @@
     }
 
     @Override
-    public void applied(FleetRecord record) {
+    public void applied(long index, byte[] entry) {
+      feed.applied(index, entry);
+      leadership.applied();
+    }
+
+    @Override
+    public void installed(long index) {
+      feed.installed(index);
       leadership.applied();
     }
 
--- a/src/main/java/hazelspoke/agreement/member/OwnSession.java
+++ b/src/main/java/hazelspoke/agreement/member/OwnSession.java
@@ -4,7 +4,6 @@
 import hazelspoke.agreement.record.Answer;
 import hazelspoke.agreement.record.Command;
 import hazelspoke.agreement.record.Session.Standing;
-import hazelspoke.agreement.wire.Fields;
 import hazelspoke.agreement.wire.MalformedException;
 import java.util.ArrayDeque;
 import java.util.LinkedHashMap;
@@ -18,9 +17,9 @@
  * another's, it begins a new life.
  */
 final class OwnSession {
-  /** Takes over what a leader tells of the record; returns the index that is known then. */
+  /** Takes over what a leader tells of the record. */
   interface Learner {
-    long learn(Fields in) throws MalformedException;
+    void learn(Calls.Reply reply) throws MalformedException;
   }
 
   private static final int RENEWALS_A_TERM = 4;
@@ -39,7 +38,9 @@
   private long life;
   private long numbers;
   private long incarnation;
-  private long have = -1;
+
+  /** Up to where the record was at least when this life had joined. */
+  private long joinedAt;
 
   /** Commands of its own: the first is under way. */
   private final ArrayDeque<Runnable> queue = new ArrayDeque<>();
@@ -76,7 +77,6 @@
     numbers = 0;
     incarnation = 0;
     renewed = false;
-    have = -1;
     // A whole fleet may begin with this one.
     turns.after(1 + (long) (random.nextDouble() * settings.heartbeatNanos()), this::join);
   }
@@ -93,6 +93,11 @@
     return renewed && !stopped && turns.nanos() - heldUntil < 0;
   }
 
+  /** Up to where the record has to be known before this life may count as having read it. */
+  long joinedAt() {
+    return joinedAt;
+  }
+
   private String origin() {
     return settings.self() + "/" + home + "/" + Long.toHexString(life);
   }
@@ -149,7 +154,10 @@
     return reply.thenApply(
         r -> {
           try {
-            learner.learn(r.fields());
+            learner.learn(r);
+            if (incarnation == 0 && r.fields().has("index")) {
+              joinedAt = r.fields().number("index");
+            }
             return Answer.read(r.fields().fields("answer"));
           } catch (MalformedException e) {
             throw new IllegalStateException("unreadable answer: " + e.getMessage(), e);
@@ -197,7 +205,6 @@
     call.put("call", "renew");
     call.put("incarnation", incarnation);
     call.put("life", life);
-    call.put("have", have);
     calls
         .call(call, settings.termNanos())
         .whenComplete(
@@ -220,7 +227,7 @@
     String standing;
     try {
       standing = reply.fields().text("standing");
-      have = learner.learn(reply.fields());
+      learner.learn(reply);
     } catch (MalformedException e) {
       listener.event("malformed from=" + reply.from() + " why=\"" + e.getMessage() + "\"");
       later(this::renew);
--- a/src/main/java/hazelspoke/agreement/member/Packets.java
+++ b/src/main/java/hazelspoke/agreement/member/Packets.java
@@ -1,5 +1,7 @@
 package hazelspoke.agreement.member;
 
+import hazelspoke.agreement.feed.Feed;
+import hazelspoke.agreement.feed.Follower;
 import hazelspoke.agreement.wire.Cbor;
 import java.util.LinkedHashMap;
 import java.util.Map;
@@ -25,6 +27,13 @@
   /** How far a member that was invited has been filled. */
   static final String FILLED = "filled";
 
+  /** Says that a member follows a voter's feed; see {@link hazelspoke.agreement.feed}. */
+  static final String FOLLOW = Follower.FOLLOW;
+
+  static final String ENTRIES = Feed.ENTRIES;
+
+  static final String PIECE = Feed.PIECE;
+
   private Packets() {}
 
   /** The fields of one, to be added to. */
--- a/src/main/java/hazelspoke/agreement/member/Parts.java
+++ b/src/main/java/hazelspoke/agreement/member/Parts.java
@@ -1,7 +1,15 @@
 package hazelspoke.agreement.member;
 
 import hazelspoke.agreement.engine.Engine;
+import hazelspoke.agreement.engine.Turns;
+import hazelspoke.agreement.feed.Feed;
+import hazelspoke.agreement.feed.Follower;
+import hazelspoke.agreement.feed.Pace;
+import hazelspoke.agreement.record.FleetRecord;
 import hazelspoke.agreement.wire.MalformedException;
+import java.util.List;
+import java.util.Random;
+import java.util.function.Supplier;
 
 /** What a member is put together from; a proof puts in parts that lack a guard. */
 class Parts {
@@ -34,6 +42,24 @@
     return true;
   }
 
+  Pace pace(MemberSettings settings) {
+    return Pace.usual(settings.heartbeatNanos());
+  }
+
+  Feed feed(Turns turns, Pace pace, Supplier<FleetRecord> record) {
+    return new Feed(turns, pace, record);
+  }
+
+  Follower follower(
+      String self,
+      Turns turns,
+      Random random,
+      Pace pace,
+      Supplier<List<String>> voters,
+      Follower.Owner owner) {
+    return new Follower(self, turns, random, pace, voters, owner);
+  }
+
   Engine engine(Engine.Setup setup) throws MalformedException {
     return new Engine(setup);
   }
--- a/src/main/java/hazelspoke/agreement/member/View.java
+++ b/src/main/java/hazelspoke/agreement/member/View.java
@@ -2,13 +2,17 @@
 
 import hazelspoke.agreement.record.FleetRecord;
 import java.util.List;
+import java.util.OptionalLong;
 
 /**
  * What a member knows of its fleet.
  *
- * @param record as it last heard of it; never null, and nobody changes it
- * @param heardAt when it last heard, on its own monotonic clock, in ns
+ * @param record as far as it is known; never null, to be read within the same turn, as entries that
+ *     come change it
+ * @param currentAt the record went no further then, on its own monotonic clock, in ns; empty while
+ *     that is not known of any time
  * @param leader empty if it knows of none
  * @param voters the names of those whose votes count
  */
-public record View(FleetRecord record, long heardAt, String leader, List<String> voters) {}
+public record View(
+    FleetRecord record, OptionalLong currentAt, String leader, List<String> voters) {}
--- a/src/main/java/hazelspoke/agreement/net/OperatorCalls.java
+++ b/src/main/java/hazelspoke/agreement/net/OperatorCalls.java
@@ -13,6 +13,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.OptionalLong;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
@@ -109,7 +110,12 @@
     out.put("joined", member.hasJoined());
     out.put("holds", member.holds());
     out.put("alone", settings.alone().name());
-    out.put("age_ms", TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - view.heardAt()));
+    OptionalLong currentAt = view.currentAt();
+    out.put(
+        "age_ms",
+        currentAt.isEmpty()
+            ? -1
+            : TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - currentAt.getAsLong()));
     out.put("leader", view.leader());
     out.put("voters", view.voters());
     out.put("index", record.index());
--- a/src/main/java/hazelspoke/agreement/net/Peers.java
+++ b/src/main/java/hazelspoke/agreement/net/Peers.java
@@ -48,7 +48,10 @@
   /** Packets that wait for a connection to come up; older ones are dropped first. */
   private static final int MOST_WAITING = 64;
 
-  /** Connections besides one from each member, for operators and strangers. */
+  /**
+   * Connections besides one from each member, for operators and strangers; as many more as there
+   * are members, since all of them may come anew in one moment and are strangers until they greet.
+   */
   private static final int MOST_OTHERS = 16;
 
   private final EventLoop loop;
@@ -114,7 +117,7 @@
 
   private void accept(Channel channel) {
     others.add(channel);
-    while (others.size() > MOST_OTHERS) {
+    while (others.size() > MOST_OTHERS + addresses.size()) {
       Channel longest = others.iterator().next();
       others.remove(longest);
       longest.close();
--- a/src/main/java/hazelspoke/agreement/record/FleetRecord.java
+++ b/src/main/java/hazelspoke/agreement/record/FleetRecord.java
@@ -66,6 +66,26 @@
     index = at;
   }
 
+  /**
+   * Takes the entry of an index as it stands on the record: a command's bytes, or none where a
+   * leader's term begins.
+   *
+   * @return what has become of a command; null where there is none
+   */
+  public Answer take(long at, byte[] entry) {
+    if (entry.length == 0) {
+      pass(at);
+      return null;
+    }
+    try {
+      return apply(at, Command.Numbered.read(entry));
+    } catch (MalformedException e) {
+      // Of a later version, and the same for all that are of this one.
+      pass(at);
+      return Answer.not(0, e.getMessage());
+    }
+  }
+
   /**
    * Applies the entry of an index, once for each number of an origin.
    *
--- a/src/main/java/hazelspoke/bench/scale/RecordScale.java
+++ b/src/main/java/hazelspoke/bench/scale/RecordScale.java
@@ -11,7 +11,6 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.Map;
 import java.util.concurrent.TimeUnit;
 
 /** The fleet's record by the number of members: what it costs, and how soon the last one knows. */
@@ -27,7 +26,12 @@
   private static final int CHANGE_EVERY_MS = 300;
   private static final int BURST = 50;
   private static final int PATIENCE_MS = 20_000;
+  private static final int MOST_AGAIN = 10;
   private static final long MOST_MS = 60_000;
+
+  /** A change that has not come by then never will, as far as operators care. */
+  private static final long CHANGE_MOST_MS = 10_000;
+
   private static final long DAY_S = 86_400;
 
   /** Changes of configuration, and restarts or replacements that are entries, of a day. */
@@ -37,7 +41,6 @@
   private final double idleS;
   private final PrintStream progress;
   private final Figures figures;
-  private int writes;
 
   RecordScale(Path jar, double idleS, PrintStream progress, Figures figures) {
     this.jar = jar;
@@ -61,15 +64,14 @@
         voters.add(VoterProcess.start(places, i, jar, folder.resolve("v" + i)));
       }
       awaitWell(voters);
-      Map<String, InetSocketAddress> addresses = places.addresses();
-      try (OperatorClient client =
-          new OperatorClient(addresses.get(Places.name(1)), Places.FLEET)) {
+      try (Operator client = new Operator(places.addresses().get(Places.name(1)))) {
         fill(client);
         start(fleet, voters, members);
         idle(fleet, voters, members);
         changes(client, fleet, voters, members);
         burst(client, fleet, voters, members);
         zone(client, fleet, voters, members);
+        add("an operator's connection that was closed", members, client.closed);
       }
     } finally {
       voters.forEach(VoterProcess::close);
@@ -123,20 +125,49 @@
     return state.voters.stream().mapToLong(Reading::elections).sum();
   }
 
-  private Answer write(OperatorClient client, String key) throws IOException {
-    writes++;
-    return client.command(
-        new Command.Numbered(
-            "bench/" + ProcessHandle.current().pid() + "/" + System.nanoTime() + "/" + writes,
-            1,
-            new Command.Note(
-                key, -1, Integer.toString(writes).repeat(NOTE_CHARS).substring(0, NOTE_CHARS))),
-        PATIENCE_MS);
+  /** Writes changes at one voter; connects again where that has closed the connection. */
+  private static final class Operator implements AutoCloseable {
+    private final InetSocketAddress at;
+    private OperatorClient client;
+    private int writes;
+    private int closed;
+
+    Operator(InetSocketAddress at) throws IOException {
+      this.at = at;
+      client = new OperatorClient(at, Places.FLEET);
+    }
+
+    Answer write(String key) throws IOException {
+      writes++;
+      Command.Numbered command =
+          new Command.Numbered(
+              "bench/" + System.nanoTime() + "/" + writes,
+              1,
+              new Command.Note(
+                  key, -1, Integer.toString(writes).repeat(NOTE_CHARS).substring(0, NOTE_CHARS)));
+      for (int again = 0; ; again++) {
+        try {
+          return client.command(command, PATIENCE_MS);
+        } catch (IOException e) {
+          if (again == MOST_AGAIN) {
+            throw e;
+          }
+          closed++;
+          client.close();
+          client = new OperatorClient(at, Places.FLEET);
+        }
+      }
+    }
+
+    @Override
+    public void close() throws IOException {
+      client.close();
+    }
   }
 
-  private void fill(OperatorClient client) throws IOException {
+  private void fill(Operator client) throws IOException {
     for (int i = 0; i < NOTES; i++) {
-      write(client, "n" + i);
+      client.write("n" + i);
     }
   }
 
@@ -190,8 +221,7 @@
     }
   }
 
-  private void changes(
-      OperatorClient client, HollowFleet fleet, List<VoterProcess> voters, int members)
+  private void changes(Operator client, HollowFleet fleet, List<VoterProcess> voters, int members)
       throws IOException, InterruptedException {
     List<Double> took = new ArrayList<>();
     List<Double> last = new ArrayList<>();
@@ -199,9 +229,9 @@
     long begun = System.nanoTime();
     int missed = 0;
     for (int i = 0; i < CHANGES; i++) {
-      long index = write(client, "n" + i).number();
+      long index = client.write("n" + i).number();
       long from = System.nanoTime();
-      List<Double> each = fleet.await(n -> n.index() >= index, from, MOST_MS);
+      List<Double> each = fleet.await(n -> n.index() >= index, from, CHANGE_MOST_MS);
       missed += fleet.size() - each.size();
       took.addAll(each);
       last.add(Slope.quantile(each, 1));
@@ -233,14 +263,13 @@
         bytes / CHANGES * CHANGES_A_DAY / DAY_S);
   }
 
-  private void burst(
-      OperatorClient client, HollowFleet fleet, List<VoterProcess> voters, int members)
+  private void burst(Operator client, HollowFleet fleet, List<VoterProcess> voters, int members)
       throws IOException, InterruptedException {
     State before = state(fleet, voters);
     long begun = System.nanoTime();
     long index = 0;
     for (int i = 0; i < BURST; i++) {
-      index = write(client, "n" + i).number();
+      index = client.write("n" + i).number();
     }
     long to = index;
     double written = (System.nanoTime() - begun) / 1e6;
@@ -258,8 +287,7 @@
   }
 
   /** A third of them vanish, and come again all at once while a change is made. */
-  private void zone(
-      OperatorClient client, HollowFleet fleet, List<VoterProcess> voters, int members)
+  private void zone(Operator client, HollowFleet fleet, List<VoterProcess> voters, int members)
       throws IOException, InterruptedException {
     State before = state(fleet, voters);
     int lost = members / 3;
@@ -267,7 +295,7 @@
     TimeUnit.SECONDS.sleep(1);
     long from = System.nanoTime();
     fleet.open(members - lost);
-    long index = write(client, "n0").number();
+    long index = client.write("n0").number();
     long written = System.nanoTime();
     List<Double> knew = fleet.await(n -> n.index() >= index, written, MOST_MS);
     List<Double> back = fleet.await(FleetNode::hasJoined, from, MOST_MS);
--- a/src/main/java/hazelspoke/bench/scale/ScaleBench.java
+++ b/src/main/java/hazelspoke/bench/scale/ScaleBench.java
@@ -40,7 +40,7 @@
   /**
    * Measures all of it.
    *
-   * @throws IOException if a voter does not come up, or ends
+   * @throws IOException if a list or a record that was written here cannot be read
    */
   public void run() throws IOException, InterruptedException {
     try {
@@ -53,8 +53,14 @@
       lists.play(plan.hosts);
       for (int members : plan.members) {
         progress.printf("round %d of %d, %d members%n", round + 1, plan.rounds, members);
-        new RecordScale(plan.jar, plan.idleS, progress, figures)
-            .play(members, (int) (ProcessHandle.current().pid() % BLOCKS));
+        try {
+          new RecordScale(plan.jar, plan.idleS, progress, figures)
+              .play(members, (int) (ProcessHandle.current().pid() % BLOCKS));
+        } catch (IOException e) {
+          // A size that a fleet does not bear is a figure too, and what was measured of it counts.
+          progress.printf("%d members: broken off: %s%n", members, e);
+          figures.add("broken off", "members", members, 1);
+        }
       }
     }
   }
--- a/src/test/java/hazelspoke/PackagedJarIT.java
+++ b/src/test/java/hazelspoke/PackagedJarIT.java
@@ -37,6 +37,35 @@
     assertThat(java("fleet", "--help").out()).startsWith("Usage: pumicetray fleet");
   }
 
+  /**
+   * Five voters as processes and five hollow members: each figure has a line, nobody is missing.
+   */
+  @Test
+  void itMeasuresHowASmallFleetGrows() throws Exception {
+    Said said =
+        java(
+            "bench",
+            "scale",
+            "--members",
+            "10,12",
+            "--hosts",
+            "20",
+            "--rounds",
+            "1",
+            "--idle",
+            "0.5");
+    assertThat(said.status()).as(said.out()).isZero();
+    assertThat(said.out())
+        .contains(
+            "10 members: opened",
+            "a change: the last knows, median, ms, by members",
+            "reading a whole list, ms of the loop, by hosts",
+            "a module's heap with 1,150 hosts and 3 classes, MB, by tenants")
+        .containsPattern("not joined after 60 s, by members\\R +10: 0.000 12: 0.000")
+        .containsPattern("members that never knew, by members\\R +10: 0.000 12: 0.000")
+        .doesNotContain("broken off");
+  }
+
   /** A library may name its build's tools as something that it needs; they are excluded. */
   @Test
   void itHoldsNoToolsOfAnybodysBuild() throws Exception {
--- a/src/test/java/hazelspoke/agreement/member/FleetSimulation.java
+++ b/src/test/java/hazelspoke/agreement/member/FleetSimulation.java
@@ -1,6 +1,8 @@
 package hazelspoke.agreement.member;
 
 import hazelspoke.agreement.engine.Turns;
+import hazelspoke.agreement.feed.Feed;
+import hazelspoke.agreement.feed.Pace;
 import hazelspoke.agreement.record.Answer;
 import hazelspoke.agreement.record.Command;
 import hazelspoke.agreement.record.FleetRecord;
@@ -13,17 +15,21 @@
 import hazelspoke.agreement.wire.MalformedException;
 import hazelspoke.emulator.judge.Linearizability;
 import java.io.IOException;
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.OptionalLong;
 import java.util.PriorityQueue;
 import java.util.Random;
 import java.util.Set;
 import java.util.TreeMap;
+import java.util.TreeSet;
 import java.util.function.BiConsumer;
 import java.util.function.Consumer;
+import java.util.function.Supplier;
 import java.util.function.UnaryOperator;
 import java.util.logging.Level;
 import java.util.logging.Logger;
@@ -65,7 +71,29 @@
     boolean numbersAnew;
 
     UnaryOperator<Disk> disk = disk -> disk;
-    Parts parts = new Parts();
+    SmallFeeds parts = new SmallFeeds();
+  }
+
+  /** Few entries are kept and pieces are small, so that snapshots are needed by who follows. */
+  static class SmallFeeds extends Parts {
+    /** The indexes at which the record was told of an entry, which a change of voters is not. */
+    private final TreeSet<Long> entries = new TreeSet<>();
+
+    @Override
+    Feed feed(Turns turns, Pace pace, Supplier<FleetRecord> record) {
+      return new Feed(turns, pace, record) {
+        @Override
+        public void applied(long index, byte[] entry) {
+          super.applied(index, entry);
+          entries.add(index);
+        }
+      };
+    }
+
+    @Override
+    Pace pace(MemberSettings settings) {
+      return new Pace(25 * MS, SECOND, 1_000, 200_000, 20, 8_000);
+    }
   }
 
   /** What one seed came to. */
@@ -99,6 +127,8 @@
   private final List<Process> processes = new ArrayList<>();
   private final Map<String, Process> byName = new HashMap<>();
   private final Map<Long, Long> sums = new HashMap<>();
+  private final TreeMap<Long, Long> truthAt = new TreeMap<>();
+  private Wrong found;
   private final Map<String, List<Linearizability.Call>> histories = new TreeMap<>();
   private final CRC32C digest = new CRC32C();
   private FleetRecord truth = new FleetRecord();
@@ -189,6 +219,9 @@
 
   /** Whoever holds by its own clock is there, by the newest of what was agreed. */
   private void check() {
+    if (found != null) {
+      throw found;
+    }
     for (Process process : processes) {
       if (process.member != null && process.member.holds()) {
         Session session = truth.session(process.name);
@@ -226,9 +259,15 @@
         }
       }
       digest.update(Long.toString(sum + now).getBytes());
+      truthAt.put(now, truth.index());
     }
   }
 
+  private boolean lacks(long known, long all) {
+    Long next = mutant.parts.entries.higher(known);
+    return next != null && next <= all;
+  }
+
   private void atTheEnd() {
     for (Process process : processes) {
       if (process.member == null) {
@@ -237,6 +276,11 @@
       if (!process.member.holds()) {
         throw new Wrong(process.name + " does not hold at the end: " + process.lastEvent);
       }
+      long all = truthAt.floorEntry(now - 3 * SECOND).getValue();
+      if (lacks(process.member.view().record().index(), all)) {
+        throw new Wrong(
+            process.name + " knows " + process.member.view().record().index() + " of " + all);
+      }
     }
     for (Map.Entry<String, List<Linearizability.Call>> history : histories.entrySet()) {
       String wrong = Linearizability.check(history.getValue());
@@ -585,6 +629,7 @@
     int life;
     long pausedUntil;
     long startIndex;
+    long followed;
     boolean joined;
     boolean votes;
     String lastEvent = "";
@@ -615,6 +660,7 @@
       diskFailed = false;
       joined = false;
       startIndex = truth.index();
+      followed = 0;
       List<String> names = processes.stream().map(p -> p.name).toList();
       MemberSettings settings =
           new MemberSettings(
@@ -683,11 +729,21 @@
       }
     }
 
+    /** Within the engine, which would catch what is thrown; it is thrown again behind it. */
     private void changedAt(int its) {
+      try {
+        changedNow(its);
+      } catch (Wrong e) {
+        found = found == null ? e : found;
+      }
+    }
+
+    private void changedNow(int its) {
       if (its != life || member == null || powerLost) {
         return;
       }
       applied(this);
+      followed();
       if (!joined && member.hasJoined()) {
         joined = true;
         if (member.view().record().index() < startIndex) {
@@ -697,6 +753,31 @@
       }
     }
 
+    /**
+     * What it knows is the same as the record was there, never goes back, and is as new as said.
+     */
+    private void followed() {
+      FleetRecord record = member.view().record();
+      if (record.index() < followed) {
+        throw new Wrong(name + " went back from " + followed + " to " + record.index());
+      }
+      if (record.index() > followed) {
+        followed = record.index();
+        Long sum = sums.get(followed);
+        if (sum == null || sum != Arrays.hashCode(record.bytes())) {
+          throw new Wrong(name + " follows another record up to " + followed);
+        }
+      }
+      OptionalLong at = member.view().currentAt();
+      if (at.isPresent()) {
+        long then = (long) ((at.getAsLong() - offset) / rate);
+        Map.Entry<Long, Long> before = truthAt.lowerEntry(then - 1);
+        if (before != null && lacks(followed, before.getValue())) {
+          throw new Wrong(name + " says it had all at " + then + ", and has " + followed);
+        }
+      }
+    }
+
     void crash() {
       life++;
       if (member != null) {
@@ -740,6 +821,16 @@
       if (arrival > 0) {
         at(arrival, to, arrives);
       }
+      // What is fed may also come twice, out of order or not at all, as over several connections.
+      if (arrival > 0 && !healed && isFed(packet) && random.nextInt(10) == 0) {
+        at(arrival + random.nextInt(700) * MS, to, arrives);
+      }
+    }
+
+    private boolean isFed(byte[] packet) {
+      String begins =
+          new String(packet, 0, Math.min(16, packet.length), StandardCharsets.ISO_8859_1);
+      return begins.contains(Feed.ENTRIES) || begins.contains(Feed.PIECE);
     }
 
     /** When what is sent now arrives; 0 for never. */
--- a/src/test/java/hazelspoke/agreement/member/Mutants.java
+++ b/src/test/java/hazelspoke/agreement/member/Mutants.java
@@ -56,6 +56,19 @@
               });
     }
   },
+  A_LEADER_ANSWERS_BEFORE_IT_HAS_APPLIED {
+    @Override
+    Mutant make() {
+      return engine(
+          setup ->
+              new Engine(setup) {
+                @Override
+                protected CompletableFuture<Long> onceApplied(long index) {
+                  return CompletableFuture.completedFuture(index);
+                }
+              });
+    }
+  },
   A_VOTER_WHOSE_DISK_FAILED_GOES_ON {
     @Override
     Mutant make() {
@@ -74,7 +87,7 @@
     Mutant make() {
       Mutant mutant = new Mutant();
       mutant.parts =
-          new Parts() {
+          new FleetSimulation.SmallFeeds() {
             @Override
             boolean handsOverBeforeItsRemoval() {
               return false;
@@ -111,7 +124,7 @@
     Mutant make() {
       Mutant mutant = new Mutant();
       mutant.parts =
-          new Parts() {
+          new FleetSimulation.SmallFeeds() {
             @Override
             int stuckHeartbeats() {
               return 1_000;
@@ -125,7 +138,7 @@
     Mutant make() {
       Mutant mutant = new Mutant();
       mutant.parts =
-          new Parts() {
+          new FleetSimulation.SmallFeeds() {
             @Override
             int leastVoters() {
               return 1;
@@ -139,7 +152,7 @@
     Mutant make() {
       Mutant mutant = new Mutant();
       mutant.parts =
-          new Parts() {
+          new FleetSimulation.SmallFeeds() {
             @Override
             Terms terms(MemberSettings settings, long tickNanos) {
               return new Terms(settings.termNanos(), settings.drift(), tickNanos) {
@@ -158,7 +171,7 @@
     Mutant make() {
       Mutant mutant = new Mutant();
       mutant.parts =
-          new Parts() {
+          new FleetSimulation.SmallFeeds() {
             @Override
             long heldUntil(MemberSettings settings, long askedAt, long now) {
               return super.heldUntil(settings, now, now);
@@ -177,7 +190,7 @@
   private static Mutant engine(EngineMaker maker) {
     Mutant mutant = new Mutant();
     mutant.parts =
-        new Parts() {
+        new FleetSimulation.SmallFeeds() {
           @Override
           Engine engine(Engine.Setup setup) throws MalformedException {
             return maker.make(setup);
