--- a/src/main/java/hazelspoke/FleetCommand.java
+++ b/src/main/java/hazelspoke/FleetCommand.java
@@ -194,10 +194,12 @@
       out.append(
           String.format(
               Locale.ROOT,
-              "%s, as %s heard it %.1f s ago%s%n",
+              "%s, as %s knows it, %s%s%n",
               in.text("fleet"),
               in.text("self"),
-              in.number("age_ms") / 1e3,
+              in.number("age_ms") < 0
+                  ? "current at no known time"
+                  : String.format(Locale.ROOT, "current %.1f s ago", in.number("age_ms") / 1e3),
               in.truth("holds") ? "" : "; " + in.text("self") + " is alone: this may be old"));
       String leader = in.text("leader");
       List<String> voters = in.texts("voters");
