--- a/src/test/java/hazelspoke/agreement/feed/FeedSimulation.java
+++ b/src/test/java/hazelspoke/agreement/feed/FeedSimulation.java
@@ -218,8 +218,6 @@
     at(now + delay, () -> to.accept(packet));
     if (luck < 12) {
       at(now + delay + random.nextInt(900) * MS, () -> to.accept(packet));
-    } else if (luck < 14) {
-      at(now + delay, () -> {});
     }
   }
 
