Never take a late second copy of an answer for the answer to the next request

HostConnection.rest put a connection back at once, and Pool.takeIdle gives out the most recently used one first, so the next request could be written before the copy came. HostConnection.heard takes what comes after the last byte of a request for its answer: the client got the answer to another request, which counts as a lost request. Bytes on an unused connection were handled before (they close it), and only requests that may not be repeated waited 2 ms with their last byte.

Change: a connection is not used again within 20 ms of an answer (SETTLE_MS); others to that host are used, or one is opened.

BadClientsTest.aGoodRequestIsServedOnAConnectionThatStays took for granted that a connection to a host is used again at once, which is the fault.

--- a/src/main/java/hazelspoke/back/http/HostClient.java
+++ b/src/main/java/hazelspoke/back/http/HostClient.java
@@ -19,6 +19,7 @@
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.HashMap;
+import java.util.Iterator;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -33,6 +34,14 @@
 
   private static final long SWEEP_MS = 250;
 
+  /**
+   * How long a connection stays unused behind an answer, in milliseconds. A host may write an
+   * answer twice, the second copy some milliseconds after the first. HTTP/1.1 has nothing that
+   * tells that copy from the answer to the next request, so none may be written before it could
+   * have come; bytes that come on an unused connection close it ({@link HostConnection#heard}).
+   */
+  public static final double SETTLE_MS = 20;
+
   private final EventLoop loop;
   private final Transport transport;
   private final Clock clock;
@@ -228,14 +237,21 @@
       return address.getHostString() + ":" + address.getPort();
     }
 
+    /** The most recently used connection that has settled, or null; closes expired ones. */
     private HostConnection takeIdle() {
-      double before = clock.nowMs() - idleMs;
-      HostConnection c;
-      while ((c = idle.pollFirst()) != null) {
-        if (c.isOpen() && c.restsSince >= before) {
-          return c;
+      double now = clock.nowMs();
+      Iterator<HostConnection> mostRecentFirst = idle.iterator();
+      while (mostRecentFirst.hasNext()) {
+        HostConnection connection = mostRecentFirst.next();
+        double restedMs = now - connection.restsSince;
+        if (restedMs < SETTLE_MS) {
+          continue;
         }
-        c.close();
+        mostRecentFirst.remove();
+        if (connection.isOpen() && restedMs <= idleMs) {
+          return connection;
+        }
+        connection.close();
       }
       return null;
     }
--- a/src/main/java/hazelspoke/core/Clock.java
+++ b/src/main/java/hazelspoke/core/Clock.java
@@ -19,8 +19,8 @@
     this(Ticker.systemTicker());
   }
 
-  /** One that goes on with this monotonic clock. */
-  Clock(Ticker ticker) {
+  /** One that is carried on by this ticker: a test makes its own time with it. */
+  public Clock(Ticker ticker) {
     this.ticker = ticker;
     anchorNanos = ticker.nanoTime();
   }
--- a/src/test/java/hazelspoke/node/BadClientsTest.java
+++ b/src/test/java/hazelspoke/node/BadClientsTest.java
@@ -47,6 +47,7 @@
       for (int i = 0; i < 3; i++) {
         Rig.send(client, Rig.dispatch(Rig.id(), "Content-Length: 3\r\n") + "abc");
         assertThat(Rig.receive(client)).startsWith("HTTP/1.1 200").endsWith("made by the host");
+        rig.settle();
       }
     }
     assertThat(host.connections.get()).isEqualTo(1);
--- a/src/test/java/hazelspoke/node/Rig.java
+++ b/src/test/java/hazelspoke/node/Rig.java
@@ -1,5 +1,6 @@
 package hazelspoke.node;
 
+import hazelspoke.back.http.HostClient;
 import hazelspoke.net.Transport;
 import hazelspoke.takeover.Succession;
 import io.netty.util.ResourceLeakDetector;
@@ -178,6 +179,14 @@
     }
   }
 
+  /** Waits until connections to hosts that have carried an answer may be used again. */
+  void settle() throws Exception {
+    // Whatever rests since an answer has come to rest before this; what is timed comes behind it.
+    gateway.loop.submit(() -> {}).sync();
+    long restMs = (long) HostClient.SETTLE_MS + 1;
+    gateway.loop.schedule(() -> {}, restMs, TimeUnit.MILLISECONDS).sync();
+  }
+
   static String look(String txn, String more) {
     return "GET /look HTTP/1.1\r\nHost: x\r\nX-Lane: look\r\nX-Txn: "
         + txn
