--- a/src/test/java/hazelspoke/node/GoneClientsTest.java
+++ b/src/test/java/hazelspoke/node/GoneClientsTest.java
@@ -53,7 +53,7 @@
         Socket fresh = rig.connect()) {
       Rig.send(client, Rig.look(Rig.id(), ""));
       assertThat(Rig.receive(client)).contains(" 200 ");
-      rig.turns();
+      rig.settle();
       CountDownLatch goOn = new CountDownLatch(1);
       rig.gateway.loop.execute(() -> Rig.hold(goOn));
       Rig.send(client, Rig.look(Rig.id(), ""));
