Look at the sockets again where the loop stood still behind the last look

Cause: Turns.afterReading reads the sockets once more before anything is begun for a client. The turn of that look may itself stand still between its select and the task, while another socket's bytes are handled: then a client's end, or a drain, that came meanwhile was not known when the attempt began.

Change: a look that is older than 50 ms when the task's turn has come is taken again, three times at most.

--- a/src/main/java/hazelspoke/net/Turns.java
+++ b/src/main/java/hazelspoke/net/Turns.java
@@ -7,15 +7,37 @@
  * The order of things on a loop, whose every turn reads the sockets first and then does its tasks.
  */
 public final class Turns {
+  /** A look at the sockets that is older than this is taken again, in milliseconds. */
+  static final long STALE_MS = 50;
+
+  /** So many looks are taken at most: a loop whose every turn is long still has to get on. */
+  static final int MOST_LOOKS = 3;
+
   private Turns() {}
 
   /**
    * Does something once all sockets have been looked at again: whatever a peer has said by now, an
    * end for one, is read before. A loop may stand still between its reading and its tasks, so that
-   * what a task knows of its peers is old by as much. Costs a look that does not wait; on the loop.
+   * what a task knows of its peers is old by as much. It may also stand still right behind that
+   * second look, while another socket's bytes are handled; then there is a third. Costs a look that
+   * does not wait; on the loop.
    */
   public static void afterReading(EventLoop loop, Runnable task) {
-    // Due timers are fetched before a turn's tasks: what is set by one of these is for the next.
-    loop.execute(() -> loop.schedule(task, 0, TimeUnit.NANOSECONDS));
+    loop.execute(() -> look(loop, task, MOST_LOOKS));
+  }
+
+  /** For a task of the loop: due timers are fetched before these, and so are of the next turn. */
+  private static void look(EventLoop loop, Runnable task, int looksLeft) {
+    long askedAt = loop.ticker().nanoTime();
+    Runnable afterLook =
+        () -> {
+          long ageMs = TimeUnit.NANOSECONDS.toMillis(loop.ticker().nanoTime() - askedAt);
+          if (ageMs > STALE_MS && looksLeft > 1) {
+            look(loop, task, looksLeft - 1);
+          } else {
+            task.run();
+          }
+        };
+    loop.schedule(afterLook, 0, TimeUnit.NANOSECONDS);
   }
 }
