Answer whose time is over before what is read behind a stall

Cause: a loop that stood still reads its sockets first and fires its timers after. Half a second late is a lost request.

Change: with each request and each answer the deadlines that are past by the whole spare (250 ms, so that no answer lying unread can still be in time) are told first. CoreTest has both cases; the first fails without the change.

--- a/src/main/java/hazelspoke/core/Dispatcher.java
+++ b/src/main/java/hazelspoke/core/Dispatcher.java
@@ -189,6 +189,7 @@
 
   @Override
   public void onRequest(Exchange x) {
+    answerOverdue();
     double now = clock.nowMs();
     x.lostBefore = lag.lostMs();
     RequestInfo info = x.taken(Long.toString(taken++), now, lag.waitedMs());
@@ -207,6 +208,16 @@
     decide(x, () -> balancer.onRequest(clock.nowMs(), info));
   }
 
+  /**
+   * Whose client's time is over for certain is answered before anything is done for others: where
+   * the loop stood still, that is owed longest.
+   */
+  private void answerOverdue() {
+    if (!deciding) {
+      timers.runDueBy(clock.nowMs() - Exchange.MOST_SPARE_MS);
+    }
+  }
+
   @Override
   public void onAnswerLeft(Exchange x) {
     double lateMs = clock.nowMs() - x.deadline;
@@ -524,6 +535,7 @@
 
     @Override
     public void answered(Metadata metadata, String loadReport, Body body, ByteBudget.Share share) {
+      answerOverdue();
       if (x.ended) {
         share.release();
         body.abandon();
--- a/src/main/java/hazelspoke/core/Exchange.java
+++ b/src/main/java/hazelspoke/core/Exchange.java
@@ -13,7 +13,7 @@
   private static final double SPARE_PART = 1.0 / 8;
 
   /** But not more than processes with little to do were seen to stand still for, in ms. */
-  private static final double MOST_SPARE_MS = 250;
+  static final double MOST_SPARE_MS = 250;
 
   private Request request;
   private Client client;
--- a/src/main/java/hazelspoke/core/Timers.java
+++ b/src/main/java/hazelspoke/core/Timers.java
@@ -54,17 +54,30 @@
     timer = loop.schedule(this::fire, nanos, TimeUnit.NANOSECONDS);
   }
 
+  /**
+   * Tells at once those that should have been told by then: a loop that stood still reads its
+   * sockets before its timer fires, and that can take as long as the requests that have come.
+   */
+  void runDueBy(double thenMs) {
+    if (deadlines.nextMs() <= thenMs) {
+      tellDue(thenMs);
+    }
+  }
+
   private void fire() {
     timer = null;
     armedFor = Double.POSITIVE_INFINITY;
-    double now = clock.nowMs();
     try {
-      Deadlines.Entry entry;
-      for (int i = 0; i < MOST_A_TURN && (entry = deadlines.pollDue(now)) != null; i++) {
-        entry.due();
-      }
+      tellDue(clock.nowMs());
     } finally {
       arm();
     }
   }
+
+  private void tellDue(double thenMs) {
+    Deadlines.Entry entry;
+    for (int i = 0; i < MOST_A_TURN && (entry = deadlines.pollDue(thenMs)) != null; i++) {
+      entry.due();
+    }
+  }
 }
--- a/src/test/java/hazelspoke/core/CoreTest.java
+++ b/src/test/java/hazelspoke/core/CoreTest.java
@@ -333,6 +333,29 @@
     assertThat(asker.answers).hasSize(1);
   }
 
+  /** A stalled loop reads its sockets before its timers fire. */
+  @Test
+  void whoseTimeIsOverIsAnsweredBeforeWhatIsReadBehindAStall() {
+    CoreRig rig = new CoreRig(100, Plain::new);
+    CoreRig.Asker overdue = rig.ask();
+    rig.ticker.advanceMillis((long) CoreRig.DEADLINE_MS + 200);
+    rig.ask();
+    assertThat(overdue.answers).hasSize(1);
+  }
+
+  /** An answer that lies unread may still come in time. */
+  @Test
+  void whoseTimeMayNotBeOverIsNotAnsweredForAnother() {
+    CoreRig rig = new CoreRig(100, Plain::new);
+    CoreRig.Asker early = rig.ask();
+    rig.ticker.advanceMillis((long) CoreRig.DEADLINE_MS - 10);
+    rig.ask();
+    assertThat(early.answers).isEmpty();
+    rig.calls.get(0).end(Result.OK);
+    assertThat(early.answers).hasSize(1);
+    assertThat(early.answers.get(0).outcome()).isEqualTo(Answer.Outcome.SERVED);
+  }
+
   @Test
   void beyondTheCapAllAreRefusedAtOnce() {
     CoreRig rig = new CoreRig(2, Plain::new);
