Take as many members in the operator's file as the record holds: 2,000, not 1,000

Need: no cap on lists of gateways may lie under 1,024, and two constants said how many members there may be, 1,000 in the file and 2,000 in the record. The file now goes by the record's. OperatorsFileTest reads 2,000 members and has 2,001 turned down; it fails with the old cap.

The other caps on lists of gateways or hosts were looked for (grep of all constants named MOST, MAX or LONGEST in core, node, discovery, config, agreement and ternscale): Feed.MOST_FOLLOWERS 2,000, FleetRecord.MOST_ORIGINS 4,096, Cbor.MOST_VALUES 50,000 a message; none on hosts.

--- a/src/main/java/hazelspoke/agreement/record/FleetRecord.java
+++ b/src/main/java/hazelspoke/agreement/record/FleetRecord.java
@@ -17,7 +17,7 @@
  */
 public final class FleetRecord {
   /** The most members that a record has had, those that are gone among them. */
-  static final int MOST_SESSIONS = 2_000;
+  public static final int MOST_SESSIONS = 2_000;
 
   static final int MOST_NOTES = 256;
 
--- a/src/main/java/hazelspoke/config/OperatorsFile.java
+++ b/src/main/java/hazelspoke/config/OperatorsFile.java
@@ -2,6 +2,7 @@
 
 import hazelspoke.agreement.member.MemberSettings;
 import hazelspoke.agreement.net.FleetSettings;
+import hazelspoke.agreement.record.FleetRecord;
 import hazelspoke.net.Addresses;
 import java.io.IOException;
 import java.net.InetSocketAddress;
@@ -37,7 +38,6 @@
     IGNORED
   }
 
-  private static final int MOST_MEMBERS = 1_000;
   private static final double NANOS_PER_S = 1e9;
   private static final double NANOS_PER_MS = 1e6;
 
@@ -85,8 +85,8 @@
         addresses.put(member, address);
       }
     }
-    if (members.keys().size() > MOST_MEMBERS) {
-      in.complain("members", "are more than " + MOST_MEMBERS);
+    if (members.keys().size() > FleetRecord.MOST_SESSIONS) {
+      in.complain("members", "are more than " + FleetRecord.MOST_SESSIONS);
     }
     unique(in, addresses);
     String self = environment.get(SELF_VARIABLE);
--- a/src/test/java/hazelspoke/config/OperatorsFileTest.java
+++ b/src/test/java/hazelspoke/config/OperatorsFileTest.java
@@ -4,6 +4,7 @@
 import static org.assertj.core.api.Assertions.catchThrowableOfType;
 
 import hazelspoke.agreement.net.FleetSettings;
+import hazelspoke.agreement.record.FleetRecord;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.List;
@@ -50,6 +51,25 @@
     }
   }
 
+  @Test
+  void asManyMembersAsTheRecordHoldsAreTakenAndNoMore() throws Exception {
+    assertThat(read(withMembers(FleetRecord.MOST_SESSIONS), Map.of()).fleet()).isNotNull();
+    assertThat(FleetRecord.MOST_SESSIONS).isGreaterThanOrEqualTo(1_024);
+    assertThat(complaints(withMembers(FleetRecord.MOST_SESSIONS + 1)))
+        .singleElement()
+        .asString()
+        .contains("members")
+        .contains("more than 2000");
+  }
+
+  private static String withMembers(int count) {
+    StringBuilder text = new StringBuilder(GOOD);
+    for (int i = 4; i <= count; i++) {
+      text.append("g").append(i).append(" = \"127.0.0.1:").append(i).append("\"\n");
+    }
+    return text.toString();
+  }
+
   @Test
   void whatIsLeftOutTakesADefaultAndAnEmptyFileIsNoFleet() throws Exception {
     FleetSettings fleet = read(GOOD, Map.of()).fleet();
