--- a/src/main/java/hazelspoke/core/Dispatcher.java
+++ b/src/main/java/hazelspoke/core/Dispatcher.java
@@ -23,7 +23,7 @@
  * Every request in hand: tells the module what happens to it and does what the module says, and
  * sees to it that each gets exactly one final answer, whatever goes wrong.
  */
-public final class Dispatcher implements Actions, Intake {
+public final class Dispatcher implements Actions, Intake, Attempt.Listener {
   /** A request still unanswered this long after its deadline is failed here: a bug, not a rule. */
   static final double OVERDUE_MS = 15;
 
@@ -37,6 +37,7 @@
   private final Meter meter;
   private final LoopLag lag;
   private final Timers timers;
+  private final CoreServices services;
   private final Map<String, Exchange> exchanges = new HashMap<>();
 
   /** The clients' own ids of the requests that are owed an answer. */
@@ -68,6 +69,7 @@
     this.meter = meter;
     lag = new LoopLag(loop, clock);
     timers = new Timers(loop, clock);
+    services = new CoreServices(loop, clock, hosts, timers, lag, meter);
   }
 
   public void start(Balancer module, Discovery client) {
@@ -113,7 +115,7 @@
     if (!x.ended) {
       answer(x, Answer.failed(false));
       decide(null, () -> balancer.onClientGone(clock.nowMs(), x.id));
-      List.copyOf(x.attempts).forEach(Attempt::stop);
+      List.copyOf(x.attempts).forEach(Attempt::cancel);
     }
   }
 
@@ -140,15 +142,15 @@
     MembersUpdate news = new MembersUpdate(kind, update.version(), entries);
     decide(null, () -> balancer.onMembers(clock.nowMs(), news));
     if (kind.isNews()) {
-      stopUnsent(kind, entries);
+      cancelAtDraining(kind, entries);
     }
   }
 
   /**
-   * What waits for its turn or for a connection to a host that wants nothing new is taken back: the
+   * Cancels what waits for its turn or for a connection to a host that drains or is gone: the
    * connection may come up after the grace, and the request can go elsewhere now.
    */
-  private void stopUnsent(MembersUpdate.Kind kind, List<HostEntry> entries) {
+  private void cancelAtDraining(MembersUpdate.Kind kind, List<HostEntry> entries) {
     Set<String> up = new HashSet<>();
     Set<String> named = new HashSet<>();
     for (HostEntry entry : entries) {
@@ -163,8 +165,8 @@
     }
     for (Exchange x : List.copyOf(exchanges.values())) {
       for (Attempt a : List.copyOf(x.attempts)) {
-        if (!up.contains(a.host) && (!changes || named.contains(a.host))) {
-          a.takeBack();
+        if (!up.contains(a.host()) && (!changes || named.contains(a.host()))) {
+          a.cancelIfNotBegun();
         }
       }
     }
@@ -208,6 +210,46 @@
     decide(x, () -> balancer.onRequest(clock.nowMs(), info));
   }
 
+  @Override
+  public void onHostAnswer(Exchange x, Answer answer) {
+    answerOverdue();
+    if (x.ended) {
+      answer.share().release();
+      answer.body().abandon();
+    } else {
+      answer(x, answer);
+    }
+  }
+
+  @Override
+  public void onAttemptEnded(Attempt attempt, Result result, String loadReport) {
+    Exchange x = attempt.exchange();
+    x.out--;
+    if (x.ended && x.out == 0) {
+      exchanges.remove(x.id);
+    }
+    List<Double> report =
+        settings.reportMode() == Settings.ReportMode.WITH_ANSWERS
+            ? names.report(loadReport)
+            : List.of();
+    double elapsedMs = attempt.elapsedMs();
+    double ownMs = attempt.ownMs();
+    decide(
+        x,
+        () ->
+            balancer.onOutcome(
+                clock.nowMs(),
+                new Outcome(
+                    x.id,
+                    attempt.host(),
+                    attempt.number(),
+                    result,
+                    elapsedMs,
+                    x.ended,
+                    report,
+                    ownMs)));
+  }
+
   /**
    * Whose client's time is over for certain is answered before anything is done for others: where
    * the loop stood still, that is owed longest.
@@ -242,7 +284,7 @@
     x.whole(now, lag.waitedMs());
     timers.add(x.overdue, x.deadline + OVERDUE_MS - now);
     for (Attempt attempt : x.attempts) {
-      attempt.limit(patience(x, now));
+      attempt.limit(x.patienceMs(now));
     }
   }
 
@@ -256,7 +298,7 @@
     if (x.ended) {
       return;
     }
-    boolean sent = x.attempts.stream().anyMatch(a -> a.wasSent);
+    boolean sent = x.attempts.stream().anyMatch(Attempt::wasSent);
     end(x);
     meter.gone(sent);
     decide(x, () -> balancer.onClientGone(clock.nowMs(), x.id));
@@ -274,7 +316,7 @@
     }
     // Nothing more goes out for it: what has not been written by now must not be.
     for (int i = 0; i < x.attempts.size(); i++) {
-      x.attempts.get(i).stopUnsent();
+      x.attempts.get(i).cancelIfNotSent();
     }
   }
 
@@ -297,17 +339,17 @@
       log.line("the module sent request " + requestId + " after its end");
       return;
     }
-    Attempt attempt = new Attempt(x, host, now);
+    Attempt attempt = new Attempt(services, this, x, host, repeatBy(x));
     x.attempts.add(attempt);
     x.out++;
     double leftMs = x.deadline - now;
     boolean mayGo = !x.ended && leftMs > 0 && x.request().body().isRepeatable();
     if (!mayGo || x.attempts.size() > settings.limits().maxAttempts()) {
-      loop.execute(() -> attempt.settle(Result.NOT_SENT, ""));
+      loop.execute(attempt::endUnsent);
       return;
     }
-    double mostMs = patience(x, now);
-    attempt.go(timeoutMs > 0 ? Math.min(timeoutMs, mostMs) : mostMs);
+    double mostMs = x.patienceMs(now);
+    attempt.start(timeoutMs > 0 ? Math.min(timeoutMs, mostMs) : mostMs);
   }
 
   /**
@@ -321,20 +363,14 @@
       int c = x.request().requestClass();
       double windowMs = settings.classes().get(c).windowMs() - settings.tickMs();
       for (Attempt earlier : x.attempts) {
-        by = earlier.mayRun ? Math.min(by, earlier.startedAt + windowMs) : by;
+        if (earlier.mayRun()) {
+          by = Math.min(by, earlier.startedAt() + windowMs);
+        }
       }
     }
     return by;
   }
 
-  /**
-   * How long an attempt is waited for: until what is said then still gets to the client. One that
-   * begins later than that has half of what is left.
-   */
-  private static double patience(Exchange x, double now) {
-    return Math.max(x.answerBy - now, (x.deadline - now) / 2);
-  }
-
   @Override
   public void refuse(String requestId, double retryAfterMs) {
     Exchange x = exchanges.get(requestId);
@@ -355,16 +391,20 @@
   public void cancel(String requestId, int attempt) {
     Exchange x = exchanges.get(requestId);
     if (x != null && attempt >= 0 && attempt < x.attempts.size()) {
-      Attempt a = x.attempts.get(attempt);
-      a.stopSoon();
+      x.attempts.get(attempt).cancelSoon();
     }
   }
 
   @Override
   public void probe(String host) {
-    Probe probe = new Probe(host, clock.nowMs());
-    probe.ticket = hosts.start(host, probe);
-    timers.add(probe, Probe.TIMEOUT_MS);
+    new LoadProbe(services, this::onProbeEnded, host).start();
+  }
+
+  private void onProbeEnded(LoadProbe probe, Result result, String loadReport) {
+    List<Double> report =
+        settings.reportMode() == Settings.ReportMode.NONE ? List.of() : names.report(loadReport);
+    ProbeResult news = new ProbeResult(probe.host(), result, probe.elapsedMs(), report);
+    decide(null, () -> balancer.onProbeResult(clock.nowMs(), news));
   }
 
   @Override
@@ -420,223 +460,4 @@
       abandon(x);
     }
   }
-
-  /** One attempt of a request; becomes due when it is given up. */
-  final class Attempt extends Deadlines.Entry implements HostCall {
-    private final Exchange x;
-    private final String host;
-    private final int number;
-    private final double startedAt;
-    private final double lostBefore = lag.lostMs();
-
-    /** Until when it may be written. */
-    private final double beginBy;
-
-    private Hosts.Ticket ticket;
-    private boolean over;
-
-    /** Whether its last byte went out, whatever became of it. */
-    private boolean wasSent;
-
-    /** Whether its host may have run it, or may yet. */
-    private boolean mayRun = true;
-
-    /** Of a request that was not whole: how long its host waited for the last byte. */
-    private double uploadMs;
-
-    Attempt(Exchange x, String host, double now) {
-      this.x = x;
-      this.host = host;
-      number = x.attempts.size();
-      startedAt = now;
-      beginBy = repeatBy(x);
-    }
-
-    private void go(double timeoutMs) {
-      limit(timeoutMs);
-      ticket = hosts.start(host, this);
-    }
-
-    /** Waits for so long from now on; without end while the request is still coming. */
-    private void limit(double timeoutMs) {
-      if (!over && timeoutMs < Double.POSITIVE_INFINITY) {
-        timers.remove(this);
-        timers.add(this, timeoutMs);
-      }
-    }
-
-    @Override
-    void due() {
-      // Given up before its last byte was written, it never ran.
-      Result result = ticket.isSent() ? Result.TIMEOUT : Result.CONNECT_FAILED;
-      ticket.giveUp();
-      settle(result, "");
-    }
-
-    /** Ends the attempt if nothing of it has been written: it never ran, and is no host's fault. */
-    private void takeBack() {
-      if (!over && ticket != null && !ticket.isBegun()) {
-        ticket.giveUp();
-        settle(Result.NOT_SENT, "");
-      }
-    }
-
-    /** Ends the attempt at the gateway's own wish. */
-    private void stop() {
-      if (!over) {
-        giveUp();
-        settle(Result.CANCELLED, "");
-      }
-    }
-
-    @Override
-    public boolean mayBegin() {
-      return clock.nowMs() < beginBy;
-    }
-
-    /** At once as far as its host is concerned; the module hears of it on a later turn. */
-    private void stopSoon() {
-      loop.execute(this::stop);
-      giveUp();
-    }
-
-    private void stopUnsent() {
-      if (ticket != null && !over && !ticket.isSent()) {
-        stopSoon();
-      }
-    }
-
-    private void giveUp() {
-      if (ticket != null && !over) {
-        ticket.giveUp();
-      }
-    }
-
-    @Override
-    public Request request() {
-      return x.request();
-    }
-
-    @Override
-    public double remainingMs() {
-      double leftMs = Math.max(0, patience(x, clock.nowMs()));
-      return leftMs < Double.POSITIVE_INFINITY ? leftMs : x.request().remainingMs();
-    }
-
-    @Override
-    public void sent() {
-      wasSent = true;
-      Request request = x.request();
-      if (request != null && request.body().rest() != null) {
-        uploadMs = clock.nowMs() - startedAt;
-      }
-      meter.sent();
-    }
-
-    @Override
-    public void answered(Metadata metadata, String loadReport, Body body, ByteBudget.Share share) {
-      answerOverdue();
-      if (x.ended) {
-        share.release();
-        body.abandon();
-      } else {
-        Dispatcher.this.answer(x, Answer.served(metadata, body, share));
-      }
-      settle(Result.OK, loadReport);
-    }
-
-    @Override
-    public void ended(Result result, String loadReport) {
-      settle(result, loadReport);
-    }
-
-    private void settle(Result result, String loadReport) {
-      if (over) {
-        return;
-      }
-      over = true;
-      mayRun = !result.neverRan();
-      timers.remove(this);
-      x.out--;
-      if (x.ended && x.out == 0) {
-        exchanges.remove(x.id);
-      }
-      double elapsedMs = clock.nowMs() - startedAt;
-      // Nor is it the host's time in which the client was still sending.
-      double ownMs = Math.max(uploadMs, lag.lostMs() - lostBefore);
-      List<Double> report =
-          settings.reportMode() == Settings.ReportMode.WITH_ANSWERS
-              ? names.report(loadReport)
-              : List.of();
-      decide(
-          x,
-          () ->
-              balancer.onOutcome(
-                  clock.nowMs(),
-                  new Outcome(x.id, host, number, result, elapsedMs, x.ended, report, ownMs)));
-    }
-  }
-
-  /** A question for a host's load. */
-  private final class Probe extends Deadlines.Entry implements HostCall {
-    private static final double TIMEOUT_MS = 300;
-
-    private final String host;
-    private final double startedAt;
-    private Hosts.Ticket ticket;
-    private boolean over;
-
-    Probe(String host, double now) {
-      this.host = host;
-      startedAt = now;
-    }
-
-    @Override
-    void due() {
-      ticket.giveUp();
-      settle(Result.TIMEOUT, "");
-    }
-
-    @Override
-    public Request request() {
-      return null;
-    }
-
-    @Override
-    public boolean mayBegin() {
-      return true;
-    }
-
-    @Override
-    public double remainingMs() {
-      return TIMEOUT_MS;
-    }
-
-    @Override
-    public void sent() {}
-
-    @Override
-    public void answered(
-        Metadata metadata, String loadReport, Body answer, ByteBudget.Share share) {
-      share.release();
-      answer.abandon();
-      settle(Result.OK, loadReport);
-    }
-
-    @Override
-    public void ended(Result result, String loadReport) {
-      settle(result, "");
-    }
-
-    private void settle(Result result, String loadReport) {
-      if (!over) {
-        over = true;
-        timers.remove(this);
-        boolean reports = settings.reportMode() != Settings.ReportMode.NONE;
-        List<Double> report = reports ? names.report(loadReport) : List.of();
-        ProbeResult news = new ProbeResult(host, result, clock.nowMs() - startedAt, report);
-        decide(null, () -> balancer.onProbeResult(clock.nowMs(), news));
-      }
-    }
-  }
 }
--- a/src/main/java/hazelspoke/core/Exchange.java
+++ b/src/main/java/hazelspoke/core/Exchange.java
@@ -21,7 +21,7 @@
   /** Counts the body as long as it may be needed for another attempt. */
   final ByteBudget.Share share;
 
-  final List<Dispatcher.Attempt> attempts = new ArrayList<>(1);
+  final List<Attempt> attempts = new ArrayList<>(1);
 
   /** The gateway's own number: a client may send the same id again, once the first is over. */
   String id;
@@ -97,6 +97,15 @@
     answerBy = when - Math.min(MOST_SPARE_MS, SPARE_PART * request.remainingMs());
   }
 
+  /**
+   * How long an attempt that begins now is waited for, in milliseconds: until what is said then
+   * still gets to the client. One that begins later than that has half of what is left. Never more
+   * than the client has left.
+   */
+  double patienceMs(double now) {
+    return Math.max(answerBy - now, (deadline - now) / 2);
+  }
+
   /** The request is whole: its time has been running since it lay ready to be read. */
   RequestInfo taken(String ownId, double now, double waitedMs) {
     id = ownId;
--- a/src/main/java/hazelspoke/core/package-info.java
+++ b/src/main/java/hazelspoke/core/package-info.java
@@ -47,8 +47,8 @@
  *
  * <p>When its turn has come, after the sockets were read once more, a back asks a call whether it
  * {@link hazelspoke.core.HostCall#mayBegin may begin}; otherwise it ends as not sent. Until then,
- * as {@link hazelspoke.core.Hosts.Ticket#isBegun isBegun} says, the core takes it back when its
- * client leaves or its host wants nothing new.
+ * as {@link hazelspoke.core.Hosts.Ticket#isBegun isBegun} says, the core cancels it when its client
+ * leaves or its host wants nothing new.
  *
  * <p>A call says {@link hazelspoke.core.HostCall#sent sent} when its last byte was handed over. A
  * request whose rest has begun to go to one host can go to no other: a further attempt ends as not
--- a/src/test/java/hazelspoke/core/CoreRig.java
+++ b/src/test/java/hazelspoke/core/CoreRig.java
@@ -69,7 +69,7 @@
     void write() {
       if (!sent) {
         sent = true;
-        if (call instanceof Dispatcher.Attempt && call.request() == null) {
+        if (call instanceof Attempt && call.request() == null) {
           throw new AssertionError("something goes out for a request that has ended");
         }
         written.add(call.request());
