Call discovery a third time within the 6 s, whichever way two calls failed

The module backs off from the moment of the failure, up to 1.5 s, though a call that failed may have waited for most of its 2 s before.

Change: after a watch that failed before it had spoken, the client begins the next one itself 1.7 s after the begin of the failed one, unless the module did so sooner; that is when a silent one is joined by another. Third call at 3.6 s, answered by 5.6 s. Watches that had spoken are left to the module, so that a fleet whose watches all end at once does not call at once.

DiscoveryTermsTest.twoCallsThatFailInARow... has a module that never calls: without the change the third call never comes (accept times out). What it costs a discovery with too many callers is not played yet.

--- a/src/main/java/hazelspoke/discovery/DiscoveryClient.java
+++ b/src/main/java/hazelspoke/discovery/DiscoveryClient.java
@@ -109,6 +109,9 @@
 
   private double triedAt = Double.NEGATIVE_INFINITY;
 
+  /** The latest begin of the next watch after one that failed; null when none did. */
+  private ScheduledFuture<?> nextTry;
+
   /** Whether the next failure of a watch is answered from here, at once. */
   private boolean justMoved;
 
@@ -165,6 +168,24 @@
     tried.add(new Call(true));
   }
 
+  /**
+   * The module backs off from a failure, and a call that failed may have waited for most of its
+   * time before: the next one begins no later than it would have beside a silent one. So two calls
+   * that fail in a row, in whichever way, leave time for a third within the 6 s of the pages.
+   */
+  private void limitBackOff() {
+    cancelNextTry();
+    long delayMs = (long) Math.max(0, triedAt + HEDGE_MS - clock.nowMs());
+    nextTry = loop.schedule(() -> watch(true), delayMs, TimeUnit.MILLISECONDS);
+  }
+
+  private void cancelNextTry() {
+    if (nextTry != null) {
+      nextTry.cancel(false);
+      nextTry = null;
+    }
+  }
+
   private void closeTried() {
     tried.forEach(Call::close);
     tried.clear();
@@ -177,6 +198,7 @@
         tryAnother(MOST_TRIED_ASKED);
       }
     } else {
+      cancelNextTry();
       closeTried();
       closeWatch();
     }
@@ -356,7 +378,7 @@
         return;
       }
       close();
-      tried.remove(this);
+      boolean hadNotSpoken = tried.remove(this);
       if (watch == this) {
         watch = null;
       }
@@ -372,6 +394,9 @@
         watch(true);
       } else {
         onFailed.accept(silent);
+        if (isWatch && hadNotSpoken) {
+          limitBackOff();
+        }
       }
     }
 
--- a/src/test/java/hazelspoke/node/DiscoveryTermsTest.java
+++ b/src/test/java/hazelspoke/node/DiscoveryTermsTest.java
@@ -44,6 +44,7 @@
   private final Rig rig = new Rig(160, nobody, ASKED);
   private final List<Socket> calls = new ArrayList<>();
   private final AtomicInteger failures = new AtomicInteger();
+  private final AtomicInteger updates = new AtomicInteger();
 
   DiscoveryTermsTest() throws Exception {
     listener.setSoTimeout(Rig.PATIENCE_MS);
@@ -116,6 +117,37 @@
   /** After SIGHUP 4 s are all: the first failure is followed by a call that waits for no timer. */
   @Test
   void aFirstCallThatFailsAfterAMoveIsMadeAgainWithNoBackOff() throws Exception {
+    moveAClientWhoseModuleNeverCalls();
+    Socket first = call();
+    reset(first);
+    first.close();
+    Socket second = call();
+    assertThat(failures).hasValue(0);
+    reset(second);
+    second.close();
+    Rig.await("the second is the module's", () -> failures.get() == 1);
+  }
+
+  /** However long the module backs off: the time of the calls that fail counts too. */
+  @Test
+  void twoCallsThatFailInARowAreFollowedByAThirdWhateverTheModuleDoes() throws Exception {
+    moveAClientWhoseModuleNeverCalls();
+    Socket first = call();
+    reset(first);
+    first.close();
+    for (int i = 1; i <= 2; i++) {
+      int failed = i;
+      try (Socket call = call()) {
+        Rig.send(call, "HTTP/1.1 503 no\r\nContent-Length: 0\r\n\r\n");
+        Rig.await("told to the module", () -> failures.get() == failed);
+      }
+    }
+    tell(call(), Rig.list(1, true));
+    Rig.await("the list", () -> updates.get() == 1);
+  }
+
+  /** It is told of failures and calls nobody: what calls is the client itself. */
+  private void moveAClientWhoseModuleNeverCalls() throws Exception {
     DiscoveryClient client =
         new DiscoveryClient(
             rig.gateway.loop,
@@ -123,18 +155,10 @@
             new DiscoveryClient.Start(new InetSocketAddress("127.0.0.1", 1), false, NO_NAMES, 0),
             new Clock(),
             new Log(new PrintStream(rig.log, true), new Clock()),
-            update -> {},
+            update -> updates.incrementAndGet(),
             silent -> failures.incrementAndGet());
     InetSocketAddress next = new InetSocketAddress("127.0.0.1", listener.getLocalPort());
     rig.gateway.loop.submit(() -> client.moveTo(next)).sync();
-    Socket first = call();
-    reset(first);
-    first.close();
-    Socket second = call();
-    assertThat(failures).hasValue(0);
-    reset(second);
-    second.close();
-    Rig.await("the second is the module's", () -> failures.get() == 1);
   }
 
   @Test
