--- a/src/test/java/ternscale/policy/Gateway.java
+++ b/src/test/java/ternscale/policy/Gateway.java
@@ -81,6 +81,30 @@
         s.weightMeaning());
   }
 
+  /** The same for one gateway of several. */
+  static Settings oneOf(Settings s, int me, int instances) {
+    return new Settings(
+        me,
+        instances,
+        s.zone(),
+        s.zones(),
+        s.tickMs(),
+        s.classes(),
+        s.tenants(),
+        s.overShareWorth(),
+        s.worthByWork(),
+        s.discovery(),
+        s.hostsRememberKeys(),
+        s.clientsMarkRetries(),
+        s.limits(),
+        s.rules(),
+        s.prices(),
+        s.goal(),
+        s.reportMode(),
+        s.reportFields(),
+        s.weightMeaning());
+  }
+
   static Settings goal(Settings.Goal goal, RequestClass... classes) {
     return settings(Settings.Discovery.PUSHED, false, false, goal, FREE, classes);
   }
