Call a drain a drain: lameDuck, isLame, lameSince and LAME_REST_MS renamed

The field's word is draining; the operators' path /_lameduck stays, as it is theirs. No change of behaviour; OperationsTest, TakeoverTest and the architecture pass.

--- a/src/main/java/hazelspoke/front/http/ClientServer.java
+++ b/src/main/java/hazelspoke/front/http/ClientServer.java
@@ -61,7 +61,7 @@
    * In a drain by operators who rests may use its connection for so long; with its answer it is
    * told to go. Of a client that comes back meanwhile no request crosses a close.
    */
-  private static final double LAME_REST_MS = 1_500;
+  private static final double DRAIN_REST_MS = 1_500;
 
   /** In a leave: for a new client to speak, and for one that was told good-bye to go. */
   private static final double LEAVE_MS = 250;
@@ -88,7 +88,7 @@
   private boolean handedOver;
 
   /** When the drain by operators began; infinite when there is none. Any thread may set it. */
-  private volatile double lameSince = Double.POSITIVE_INFINITY;
+  private volatile double drainingSince = Double.POSITIVE_INFINITY;
 
   public ClientServer(
       EventLoop loop,
@@ -211,9 +211,9 @@
   }
 
   private void sweep() {
-    boolean go = clock.nowMs() - lameSince >= LAME_REST_MS;
+    boolean go = clock.nowMs() - drainingSince >= DRAIN_REST_MS;
     double restMs = open > mostConnections / 2 ? IDLE_MS : IDLE_WITH_ROOM_MS;
-    expire(State.FRESH, go ? LAME_REST_MS : IDLE_MS);
+    expire(State.FRESH, go ? DRAIN_REST_MS : IDLE_MS);
     expire(State.IDLE, go ? 0 : restMs);
     expire(State.HEAD, HEAD_MS);
     double now = clock.nowMs();
@@ -249,20 +249,20 @@
   }
 
   public boolean isReady() {
-    return ready && !isLame();
+    return ready && !isDraining();
   }
 
   /** Whether clients are told with each answer to go elsewhere. */
   public boolean isSendingAway() {
-    return leaving || handedOver || isLame();
+    return leaving || handedOver || isDraining();
   }
 
   public boolean isLeaving() {
     return leaving;
   }
 
-  private boolean isLame() {
-    return lameSince < Double.POSITIVE_INFINITY;
+  private boolean isDraining() {
+    return drainingSince < Double.POSITIVE_INFINITY;
   }
 
   /**
@@ -270,9 +270,9 @@
    * connection's last, and after a while what rests is closed. In force at once; any thread may
    * call it.
    */
-  public void lameDuck(boolean on) {
-    if (on != isLame()) {
-      lameSince = on ? clock.nowMs() : Double.POSITIVE_INFINITY;
+  public void setDraining(boolean on) {
+    if (on != isDraining()) {
+      drainingSince = on ? clock.nowMs() : Double.POSITIVE_INFINITY;
     }
   }
 
--- a/src/main/java/hazelspoke/node/FleetMembership.java
+++ b/src/main/java/hazelspoke/node/FleetMembership.java
@@ -69,7 +69,7 @@
   }
 
   /** Whether it is to take nobody new, as it is past its term and was told to leave then. */
-  boolean isLame() {
+  boolean isDraining() {
     return leavesAlone && !node.holds();
   }
 
--- a/src/main/java/hazelspoke/node/Gateway.java
+++ b/src/main/java/hazelspoke/node/Gateway.java
@@ -213,21 +213,21 @@
   /** Its session holds again, or does not; on the fleet's thread. */
   private void standing() {
     if (serving) {
-      clients.lameDuck(handDrain || fleet.isLame());
+      clients.setDraining(handDrain || fleet.isDraining());
     }
   }
 
   /** Whether clients are taken; any thread may ask. */
   boolean isServing() {
-    return serving && (fleet == null || !fleet.isLame());
+    return serving && (fleet == null || !fleet.isDraining());
   }
 
   /** Begins or ends a drain by operators, at once and from any thread; false if it cannot. */
-  boolean lameDuck(boolean on) {
+  boolean setDraining(boolean on) {
     boolean can = serving;
     if (can) {
       handDrain = on;
-      clients.lameDuck(on || fleet != null && fleet.isLame());
+      clients.setDraining(on || fleet != null && fleet.isDraining());
       loop.execute(() -> log.line("drain by operators: " + (on ? "on" : "off")));
     }
     return can;
--- a/src/main/java/hazelspoke/node/Operators.java
+++ b/src/main/java/hazelspoke/node/Operators.java
@@ -58,8 +58,8 @@
   }
 
   @Override
-  public boolean lameDuck(boolean on) {
-    return gateway.lameDuck(on);
+  public boolean setDraining(boolean on) {
+    return gateway.setDraining(on);
   }
 
   @Override
--- a/src/main/java/hazelspoke/operations/Figures.java
+++ b/src/main/java/hazelspoke/operations/Figures.java
@@ -114,9 +114,7 @@
     for (Map.Entry<String, Counter> counter : registry.getCounters().entrySet()) {
       line(text, counter.getKey(), counter.getValue().getCount());
     }
-    for (Map.Entry<String, Gauge> gauge : registry.getGauges().entrySet()) {
-      line(text, gauge.getKey(), gauge.getValue().getValue());
-    }
+    registry.getGauges().forEach((name, gauge) -> line(text, name, gauge.getValue()));
     return text.toString();
   }
 
--- a/src/main/java/hazelspoke/operations/ManagementCall.java
+++ b/src/main/java/hazelspoke/operations/ManagementCall.java
@@ -42,12 +42,12 @@
       }
       case "/_lameduck/on" -> {
         if (isBy(ctx, call, HttpMethod.POST)) {
-          answer(ctx, gateway.lameDuck(true), "draining\n", "not serving\n");
+          answer(ctx, gateway.setDraining(true), "draining\n", "not serving\n");
         }
       }
       case "/_lameduck/off" -> {
         if (isBy(ctx, call, HttpMethod.POST)) {
-          answer(ctx, gateway.lameDuck(false), "serving\n", "not serving\n");
+          answer(ctx, gateway.setDraining(false), "serving\n", "not serving\n");
         }
       }
       default ->
--- a/src/main/java/hazelspoke/operations/Operated.java
+++ b/src/main/java/hazelspoke/operations/Operated.java
@@ -11,7 +11,7 @@
    *
    * @return false if the gateway cannot, as it has not started yet or is leaving for good
    */
-  boolean lameDuck(boolean on);
+  boolean setDraining(boolean on);
 
   /** The figures, a line each. */
   String figures();
