Have the shutdown hook in place before the first client can connect

Cause: Gateway.serve installed the hook after start() had returned. A SIGTERM between the first listening and that ended the process at once, by the JVM's default, with whatever it had taken in by then: a lost request.

Change: the hook comes before start(). A leave that begins before the gateway listens ends it (it never listens then), one of a gateway that could not start does nothing, and no leave is overtaken by "serving" being set behind it.

EarlyShutdownTest: without the change no hook is there when the gateway comes to listen, and a leave before that says "taking leave" and fails in the loop (both tests fail). SignalsTest, DeployedRunTest, LeaveTest, TakeoverTest pass.

--- a/src/main/java/hazelspoke/node/Gateway.java
+++ b/src/main/java/hazelspoke/node/Gateway.java
@@ -28,6 +28,7 @@
 import java.util.Map;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import sun.misc.Signal;
 import ternscale.api.Balancer;
 import ternscale.api.MembersUpdate;
@@ -95,6 +96,9 @@
   /** Whether clients are taken; operators ask from a thread of their own. */
   private volatile boolean serving;
 
+  /** Whether a leave has begun; the loop's. */
+  private boolean draining;
+
   /** Null where operators have no address. */
   private Operators operators;
 
@@ -116,6 +120,18 @@
 
   /** Runs a gateway until SIGTERM; returns 1 when it cannot start. */
   public static int serve(Map<String, String> environment, PrintStream err) {
+    return serve(environment, err, Runtime.getRuntime()::addShutdownHook);
+  }
+
+  /**
+   * Runs a gateway until SIGTERM.
+   *
+   * @param shutdownHooks is given what has to run at SIGTERM, before the first client can connect:
+   *     a request that was taken in before that would be lost
+   * @return 1 when it cannot start
+   */
+  static int serve(
+      Map<String, String> environment, PrintStream err, Consumer<Thread> shutdownHooks) {
     IgnoredSignals ignored = IgnoredSignals.ofThisProcess();
     // Before the file is read, so that no change of it is missed.
     FileWatch changes =
@@ -149,13 +165,13 @@
       new WarmUp(config, environment).run(gateway.log, WarmUp.MOST_MS);
       gateway.joinSuccession(temporary(environment));
       gateway.awaitFleet();
+      shutdownHooks.accept(new Thread(gateway::drain, "drain"));
       gateway.start();
     } catch (IllegalStateException e) {
       err.println("hazelspoke: " + e.getMessage());
       gateway.stop();
       return 1;
     }
-    Runtime.getRuntime().addShutdownHook(new Thread(gateway::drain, "drain"));
     return 0;
   }
 
@@ -259,7 +275,7 @@
       throw new IllegalStateException(
           "field config.listen cannot be listened on: " + binding.cause().getMessage());
     }
-    serving = true;
+    loop.submit(() -> serving = !draining).syncUninterruptibly();
     if (fleet != null) {
       standing();
     }
@@ -274,6 +290,9 @@
   }
 
   private ChannelFuture wire() {
+    if (draining) {
+      throw new IllegalStateException("told to end before it served");
+    }
     int others =
         OTHER_DESCRIPTORS
             + (operators == null ? 0 : Operators.DESCRIPTORS)
@@ -406,14 +425,22 @@
   /**
    * Takes leave: what has been taken and what still comes for a moment is served, and nothing new
    * after that. With a successor at the same address, nothing new comes from the beginning. Returns
-   * when nothing is owed any more, or when it has to be over.
+   * when nothing is owed any more, or when it has to be over; at once where it never served.
    */
   public void drain() {
+    if (group.isShuttingDown()) {
+      return;
+    }
     double longestMs = Math.min(mostDeadlineMs, classes.longestDeadlineMs(clock.nowMs()));
     long mostMs = (long) longestMs + DRAIN_MARGIN_MS;
     boolean followed = succession != null && succession.isFollowed();
     loop.execute(
         () -> {
+          draining = true;
+          if (clients == null) {
+            drained.countDown();
+            return;
+          }
           log.line(followed ? "handing over" : "taking leave");
           serving = false;
           if (followed) {
--- /dev/null
+++ b/src/test/java/hazelspoke/node/EarlyShutdownTest.java
@@ -0,0 +1,77 @@
+package hazelspoke.node;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import hazelspoke.net.Transport;
+import java.io.ByteArrayOutputStream;
+import java.io.PrintStream;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CountDownLatch;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+/** SIGTERM about the moment at which the gateway begins to listen. */
+class EarlyShutdownTest {
+  private final ByteArrayOutputStream log = new ByteArrayOutputStream();
+  private FakeServer host;
+  private FakeServer discovery;
+  private Path file;
+
+  @BeforeEach
+  void start() throws Exception {
+    host = new FakeServer((head, out) -> FakeServer.answer(out, FakeServer.ok("done")));
+    discovery = Rig.discovery(Rig.list(1, host));
+    file = Files.createTempFile("gateway", ".json");
+  }
+
+  @AfterEach
+  void stop() throws Exception {
+    Files.delete(file);
+    discovery.close();
+    host.close();
+  }
+
+  private Map<String, String> configured(String listen) throws Exception {
+    Files.writeString(file, Rig.config(listen, 160, discovery.address(), Rig.list(1, host)));
+    return Map.of("NODE_CONFIG", file.toString());
+  }
+
+  /** It cannot listen: whatever was asked for before that was asked for before any client came. */
+  @Test
+  void whatRunsAtShutdownIsInPlaceBeforeTheFirstClientCanConnect() throws Exception {
+    List<Thread> hooks = new ArrayList<>();
+    try (ServerSocket taken = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+      Map<String, String> environment = configured("127.0.0.1:" + taken.getLocalPort());
+      assertThat(Gateway.serve(environment, new PrintStream(log, true), hooks::add)).isEqualTo(1);
+    }
+    assertThat(hooks).hasSize(1);
+    // The process ends now, and this runs: there is nothing to wait for.
+    hooks.get(0).run();
+    assertThat(log.toString()).contains("cannot be listened on").doesNotContain("Exception");
+  }
+
+  @Test
+  void toldToEndBeforeItListensItNeverDoes() throws Exception {
+    Gateway gateway =
+        new Gateway(
+            GatewayConfig.read(configured("127.0.0.1:0")),
+            new PrintStream(log, true),
+            Transport.TCP);
+    CountDownLatch goOn = new CountDownLatch(1);
+    gateway.loop.execute(() -> Rig.hold(goOn));
+    Thread drain = new Thread(gateway::drain);
+    drain.start();
+    Rig.await("the leave waits for its turn", () -> drain.getState() == Thread.State.TIMED_WAITING);
+    goOn.countDown();
+    drain.join(Rig.PATIENCE_MS);
+    assertThat(drain.isAlive()).isFalse();
+    assertThat(log.toString()).isEmpty();
+  }
+}
