--- a/src/main/java/hazelspoke/core/LoopLag.java
+++ b/src/main/java/hazelspoke/core/LoopLag.java
@@ -15,7 +15,6 @@
   private final Clock clock;
   private double due;
   private double last;
-  private double beforeLast;
   private double lost;
   private double longest;
 
@@ -26,7 +25,6 @@
   }
 
   private void tick() {
-    beforeLast = last;
     last = behind();
     lost += last;
     longest = Math.max(longest, last);
@@ -48,12 +46,10 @@
   }
 
   /**
-   * The longest that what is read now can have waited in the kernel, in milliseconds. Bytes of an
-   * open connection came during the turn before at the earliest; those of a new one, which is
-   * accepted in one turn and read in the next, during the turn before that. A turn runs the tick
-   * once at most. Less than this would promise the client an answer for later than it listens.
+   * How long what is read now has waited: since this turn began for certain, and for a part of the
+   * turn before, in which it came.
    */
   double waitedMs() {
-    return behind() + last + beforeLast;
+    return behind() + last / 2;
   }
 }
