Hear a pushed list before the configured one is gone by, changes laid over it

The collapse with it is explained: the first update of an agent may hold changes only, and the configured list that they are relative to was let go of, so that no host was known.

Change: the agent is asked from the version of the configured list; what it tells first is laid over that (HostList.Update.changedBy) and handed to the module as one list. Requests are held until then, for 400 ms at most.

--- a/src/main/java/hazelspoke/node/Gateway.java
+++ b/src/main/java/hazelspoke/node/Gateway.java
@@ -6,6 +6,7 @@
 import hazelspoke.core.ClassBook;
 import hazelspoke.core.Clock;
 import hazelspoke.core.Dispatcher;
+import hazelspoke.core.HostList;
 import hazelspoke.core.Log;
 import hazelspoke.core.Meter;
 import hazelspoke.discovery.DiscoveryClient;
@@ -65,6 +66,13 @@
 
   private static final long DRAIN_CHECK_MS = 20;
 
+  /**
+   * For so long the list of the configuration is not gone by where an agent pushes lists: it may be
+   * old, and what the agent has counts as told from the first moment of a process. An agent that
+   * has a list answers at once; one that has not answered two calls, 200 ms apart, is silent.
+   */
+  private static final long FIRST_LIST_MS = 400;
+
   /** As often as this operators' figures of hosts are brought up to date. */
   private static final long FIGURES_MS = 100;
 
@@ -96,6 +104,12 @@
   /** Whether clients are taken; operators ask from a thread of their own. */
   private volatile boolean serving;
 
+  /** How long the first list of an agent is waited for; a test has its own. */
+  long firstListMs = FIRST_LIST_MS;
+
+  /** Whether any list of hosts is known, an agent's or the configuration's; the loop's. */
+  private boolean listed;
+
   /** Whether a leave has begun; the loop's. */
   private boolean draining;
 
@@ -318,25 +332,27 @@
             log,
             hosts,
             operators == null ? Meter.NONE : operators.meter());
+    boolean pushed = config.settings().discovery() == Settings.Discovery.PUSHED;
+    // A warm-up has no agent.
+    boolean agentFirst = pushed && transport == Transport.TCP;
     discovery =
         new DiscoveryClient(
             loop,
             transport,
             new DiscoveryClient.Start(
-                config.discovery(),
-                config.settings().discovery() == Settings.Discovery.PUSHED,
-                config.names(),
-                config.known().version()),
+                config.discovery(), pushed, config.names(), config.known().version()),
             clock,
             log,
-            update ->
-                dispatcher.onMembers(
-                    update.complete() ? MembersUpdate.Kind.FULL : MembersUpdate.Kind.DELTA, update),
+            this::onList,
             dispatcher::onDiscoveryFailed);
     Balancer balancer =
         new LcStarBalancer(config.settings(), config.seed(), clock.nowMs(), dispatcher);
     dispatcher.start(balancer, discovery);
-    dispatcher.onMembers(MembersUpdate.Kind.CACHED, config.known());
+    if (agentFirst) {
+      loop.schedule(this::goByConfiguredList, firstListMs, TimeUnit.MILLISECONDS);
+    } else {
+      goByConfiguredList();
+    }
     discovery.start();
     if (succession != null && succession.hasPredecessor()) {
       // The module spreads first calls, as a whole fleet may be starting. This one starts alone,
@@ -363,6 +379,22 @@
     return clients.listen(transport, config.listen(), succession != null);
   }
 
+  /** What is told first may be changes only: they hold for the list that was asked from. */
+  private void onList(HostList.Update update) {
+    HostList.Update news = listed ? update : config.known().changedBy(update);
+    listed = true;
+    dispatcher.onMembers(
+        news.complete() ? MembersUpdate.Kind.FULL : MembersUpdate.Kind.DELTA, news);
+  }
+
+  /** Until discovery is heard; requests are held while no host is known. */
+  private void goByConfiguredList() {
+    if (!listed) {
+      listed = true;
+      dispatcher.onMembers(MembersUpdate.Kind.CACHED, config.known());
+    }
+  }
+
   /**
    * Takes over the configuration as it stands now: where discovery is, the classes and the limits
    * on attempts; what else has changed waits for a restart. A file that cannot be used changes
