--- /dev/null
+++ b/src/test/java/hazelspoke/knownred/KnownRedTest.java
@@ -0,0 +1,41 @@
+package hazelspoke.knownred;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
+
+import java.util.Arrays;
+import java.util.Collections;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+/** The list of known failures is well formed, and names tests that exist. */
+class KnownRedTest {
+  private static final String GOOD = "a.b.Some#test: what is wrong (issue 49)";
+
+  @Test
+  void everyListedTestExists() throws Exception {
+    for (KnownRed.Entry entry : KnownRed.entries()) {
+      Class<?> tests = Class.forName(entry.className());
+      assertThat(Arrays.stream(tests.getDeclaredMethods()).map(method -> method.getName()))
+          .contains(entry.method());
+    }
+  }
+
+  @Test
+  void aLineNamesTestCauseAndIssue() {
+    KnownRed.Entry entry = KnownRed.parse(List.of(GOOD, "")).get(0);
+    assertThat(entry).isEqualTo(new KnownRed.Entry("a.b.Some", "test", "what is wrong (issue 49)"));
+    assertThat(entry.names("a.b.Some", "test")).isTrue();
+    assertThat(entry.names("a.b.Some", "testOther")).isFalse();
+    assertThatThrownBy(() -> KnownRed.parse(List.of("a.b.Some: no method (issue 1)")))
+        .isInstanceOf(IllegalArgumentException.class);
+    assertThatThrownBy(() -> KnownRed.parse(List.of("a.b.Some#test: no issue")))
+        .isInstanceOf(IllegalArgumentException.class);
+  }
+
+  @Test
+  void moreThanThreeAreNotListed() {
+    List<String> lines = Collections.nCopies(KnownRed.MOST_ENTRIES + 1, GOOD);
+    assertThatThrownBy(() -> KnownRed.parse(lines)).isInstanceOf(IllegalArgumentException.class);
+  }
+}
