Show by a failing test that the process ends while requests it has read are owed an answer

Reproduced with a real process by the deployed command on loopback: 30 clients send a head (the gateway says 100 Continue, so it has read it) and one byte before SIGTERM; half of them send the rest at 45 ms steps, half never; the host hangs. Longest deadline 0.2 s and 0.6 s.

--- a/src/test/java/hazelspoke/node/ServeProcess.java
+++ b/src/test/java/hazelspoke/node/ServeProcess.java
@@ -13,6 +13,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
+import java.util.function.UnaryOperator;
 import org.tomlj.Toml;
 
 /** A gateway as a process of its own, started by a shell as a platform would. */
@@ -27,12 +28,15 @@
   private final Path folder;
   private final int port;
   private final int operators;
+  private final UnaryOperator<String> settings;
 
-  private ServeProcess(Path folder, Process process, int port, int operators) {
+  private ServeProcess(
+      Path folder, Process process, int port, int operators, UnaryOperator<String> settings) {
     this.folder = folder;
     this.process = process;
     this.port = port;
     this.operators = operators;
+    this.settings = settings;
   }
 
   /** The command of the deployment, which ends in {@code "$@"} in place of its archive. */
@@ -52,6 +56,18 @@
   static ServeProcess start(
       Path folder, String shell, boolean operated, String discovery, String... more)
       throws IOException {
+    return start(folder, shell, operated, discovery, config -> config, more);
+  }
+
+  /** The same with other settings. */
+  static ServeProcess start(
+      Path folder,
+      String shell,
+      boolean operated,
+      String discovery,
+      UnaryOperator<String> settings,
+      String... more)
+      throws IOException {
     int port;
     int operators;
     try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getByName(ADDRESS));
@@ -76,16 +92,16 @@
     }
     builder.environment().put("TMPDIR", Files.createDirectory(folder.resolve("tmp")).toString());
     builder.redirectErrorStream(true).redirectOutput(folder.resolve("log").toFile());
-    ServeProcess started = new ServeProcess(folder, null, port, operators);
+    ServeProcess started = new ServeProcess(folder, null, port, operators, settings);
     started.configure(discovery);
-    return new ServeProcess(folder, builder.start(), port, operators);
+    return new ServeProcess(folder, builder.start(), port, operators, settings);
   }
 
   /** Writes its file anew, with another discovery. */
   void configure(String discovery) throws IOException {
     Files.writeString(
         folder.resolve("config.json"),
-        Rig.config(ADDRESS + ":" + port, 160, discovery, Rig.list(1)));
+        settings.apply(Rig.config(ADDRESS + ":" + port, 160, discovery, Rig.list(1))));
   }
 
   String log() throws IOException {
@@ -97,6 +113,13 @@
     return ask(port, Rig.dispatch(Rig.id(), ""));
   }
 
+  /** A connection of a client's. */
+  Socket connect() throws IOException {
+    Socket socket = new Socket(ADDRESS, port);
+    socket.setSoTimeout(Rig.PATIENCE_MS);
+    return socket;
+  }
+
   /** The figures that operators have. */
   String figures() {
     return ask(operators, "GET /_vars HTTP/1.1\r\nHost: x\r\nContent-Length: 0\r\n\r\n");
