Show by failing tests that loops spin before timers and that old looks at clients are gone by

Cause, loops that stand still: Netty's NIO handler rounds the time to the next timer to the nearest millisecond, so told of half a millisecond or less it polls and does not wait. Every gateway does so, 200 times a second by `LoopLag` alone. Cause, sent after the end: `Turns.afterReading` goes by a look of any age after three (W1): with turns of 60 ms a client that closes before the last byte is let go still has its request sent; `LongTurnsTest` fails 1 of 17, always "dispatch, 8"; seven are kept. `EventLoopsTest` fails 5 of 9. Both are listed; `EventLoops` only names the place where loops are made, and changes nothing.

--- a/src/main/java/hazelspoke/node/Gateway.java
+++ b/src/main/java/hazelspoke/node/Gateway.java
@@ -11,14 +11,13 @@
 import hazelspoke.core.Meter;
 import hazelspoke.discovery.DiscoveryClient;
 import hazelspoke.front.http.ClientServer;
+import hazelspoke.net.EventLoops;
 import hazelspoke.net.Transport;
 import hazelspoke.net.Turns;
 import hazelspoke.takeover.Succession;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.EventLoop;
 import io.netty.channel.EventLoopGroup;
-import io.netty.channel.MultiThreadIoEventLoopGroup;
-import io.netty.channel.nio.NioIoHandler;
 import io.netty.util.internal.logging.InternalLoggerFactory;
 import io.netty.util.internal.logging.JdkLoggerFactory;
 import java.io.IOException;
@@ -86,8 +85,7 @@
   /** The longest deadline that a leave waits for; tests that hold requests up have more time. */
   long mostDeadlineMs = MOST_DEADLINE_MS;
 
-  private final EventLoopGroup group =
-      new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+  private final EventLoopGroup group = EventLoops.single();
   final EventLoop loop = group.next();
   private final Clock clock = new Clock();
   private final Log log;
