Have loops wait for their timers in place of polling for half a millisecond before each

Change: `WaitingIoHandler` tells the handler delays rounded up; all loops of a gateway's process (its own, the operators' listener, the fleet's record) are made by `EventLoops`. A timer is up to 1 ms late now.

--- a/src/main/java/hazelspoke/agreement/net/FleetNode.java
+++ b/src/main/java/hazelspoke/agreement/net/FleetNode.java
@@ -3,11 +3,9 @@
 import hazelspoke.agreement.member.Member;
 import hazelspoke.agreement.member.WrongFolderException;
 import hazelspoke.agreement.store.FileDisk;
+import hazelspoke.net.EventLoops;
 import io.netty.channel.EventLoop;
 import io.netty.channel.EventLoopGroup;
-import io.netty.channel.MultiThreadIoEventLoopGroup;
-import io.netty.channel.nio.NioIoHandler;
-import io.netty.util.concurrent.DefaultThreadFactory;
 import io.netty.util.concurrent.Future;
 import java.io.IOException;
 import java.net.InetSocketAddress;
@@ -71,11 +69,7 @@
     this.log = log;
     this.standing = standing;
     lock = lock(settings.data());
-    group =
-        shared != null
-            ? null
-            : new MultiThreadIoEventLoopGroup(
-                1, new DefaultThreadFactory(THREAD, true), NioIoHandler.newFactory());
+    group = shared != null ? null : EventLoops.daemon(THREAD);
     loop = shared != null ? shared : group.next();
     operators = new OperatorCalls(settings);
     peers =
--- a/src/main/java/hazelspoke/net/EventLoops.java
+++ b/src/main/java/hazelspoke/net/EventLoops.java
@@ -1,9 +1,12 @@
 package hazelspoke.net;
 
 import io.netty.channel.EventLoopGroup;
+import io.netty.channel.IoHandler;
 import io.netty.channel.IoHandlerFactory;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
+import io.netty.util.concurrent.DefaultThreadFactory;
+import io.netty.util.concurrent.ThreadAwareExecutor;
 
 /** Where the event loops of this program are made. */
 public final class EventLoops {
@@ -14,8 +17,24 @@
     return new MultiThreadIoEventLoopGroup(1, waiting(NioIoHandler.newFactory()));
   }
 
-  /** The handlers of a factory, as loops here use them. */
+  /** The same, on a daemon thread of this name. */
+  public static EventLoopGroup daemon(String thread) {
+    return new MultiThreadIoEventLoopGroup(
+        1, new DefaultThreadFactory(thread, true), waiting(NioIoHandler.newFactory()));
+  }
+
+  /** The handlers of a factory, which wait for timers in place of polling. */
   static IoHandlerFactory waiting(IoHandlerFactory handlers) {
-    return handlers;
+    return new IoHandlerFactory() {
+      @Override
+      public IoHandler newHandler(ThreadAwareExecutor executor) {
+        return new WaitingIoHandler(handlers.newHandler(executor));
+      }
+
+      @Override
+      public boolean isChangingThreadSupported() {
+        return handlers.isChangingThreadSupported();
+      }
+    };
   }
 }
--- a/src/main/java/hazelspoke/operations/ManagementServer.java
+++ b/src/main/java/hazelspoke/operations/ManagementServer.java
@@ -1,20 +1,18 @@
 package hazelspoke.operations;
 
 import hazelspoke.net.Buffers;
+import hazelspoke.net.EventLoops;
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoopGroup;
-import io.netty.channel.MultiThreadIoEventLoopGroup;
-import io.netty.channel.nio.NioIoHandler;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpObjectAggregator;
 import io.netty.handler.codec.http.HttpServerCodec;
 import io.netty.handler.timeout.ReadTimeoutHandler;
-import io.netty.util.concurrent.DefaultThreadFactory;
 import java.net.InetSocketAddress;
 import java.util.LinkedHashSet;
 import java.util.Set;
@@ -37,9 +35,7 @@
   private static final int MOST_HEAD_BYTES = 8_192;
   private static final int MOST_BODY_BYTES = 1_024;
 
-  private final EventLoopGroup group =
-      new MultiThreadIoEventLoopGroup(
-          1, new DefaultThreadFactory("management", true), NioIoHandler.newFactory());
+  private final EventLoopGroup group = EventLoops.daemon("management");
 
   /** Who is connected, the longest first; the loop's thread alone touches it. */
   private final Set<Channel> callers = new LinkedHashSet<>();
