Ask one guard before each byte of an attempt, and answer all that was begun before the process ends

The process ended without asking who is still owed an answer: `Gateway.drain` failed what the core had in hand and went 50 ms later, whatever was being read then (READING, HEAD) or became whole in these 50 ms; deadlines taken in were the clients' own. 2. `Turns.afterReading` runs on a look of any age after three, and the last byte of a request that must not run twice was let go on it. Change, by class: - `core.SendGuard` is asked right before the first byte (`HostClient.Ticket.begin`) and before the last one that is kept back (`HostConnection.letGo`), for first attempts and repeats. It reads the client's own socket (`Turns.readPending`, one call of the kernel) in place of going by an older look; says no past the window of repeats, past the deadline, after the end, and for a host that is listed no more. An end that is read so counts at once, not on a later turn. - `node.ShutdownPlan` has the one time by which all is settled: longest deadline + 0.7 s - 0.15 s for a pause - 0.05 s. From SIGTERM on each deadline is the lesser of its own and that (`Dispatcher.endBy`, also for what is in hand), so no host is told more. Then what is in hand is failed, what is half read is refused with 503, and later bytes of a new request get 503. The process does not end by itself before that, however long its loop was held up. - The gateway closes no connection on which a request has begun without answering it: at the limit of descriptors (503), at a slow head (408; before, a bare close), at an error of its own (500, logged; before, a bare close). - `core.Violations` counts at run time: sent after its end, too much time told, closed unanswered, answered twice, exit unanswered; `svc.violations.*` and a log line with the request's id. A connection that is closing makes room after 10 ms, not at once: its client has read the answer by then.

--- a/src/main/java/hazelspoke/back/http/HostClient.java
+++ b/src/main/java/hazelspoke/back/http/HostClient.java
@@ -190,14 +190,14 @@
     }
 
     private void begin() {
-      if (over) {
-        connection.close();
-      } else if (!call.mayBegin()) {
-        connection.close();
-        fail(Result.NOT_SENT);
-      } else {
+      // To ask may give this up, as it reads what the client has sent by now.
+      boolean may = !over && call.mayBegin();
+      if (may && !over && connection.isOfListedHost()) {
         begun = true;
         connection.begin(call);
+      } else {
+        connection.close();
+        fail(Result.NOT_SENT);
       }
     }
 
@@ -233,6 +233,10 @@
     private HostEntry host;
     private boolean forgotten;
 
+    boolean isForgotten() {
+      return forgotten;
+    }
+
     String authority() {
       return address.getHostString() + ":" + address.getPort();
     }
--- a/src/main/java/hazelspoke/back/http/HostConnection.java
+++ b/src/main/java/hazelspoke/back/http/HostConnection.java
@@ -107,6 +107,11 @@
     return channel.isActive();
   }
 
+  /** Whether discovery still lists its host. */
+  boolean isOfListedHost() {
+    return !pool.isForgotten();
+  }
+
   void close() {
     closed = true;
     channel.close();
@@ -177,9 +182,21 @@
         TimeUnit.MILLISECONDS);
   }
 
+  /** Each step may end the call: what the host or the client has said by now is read first. */
   private void letGo(HostCall of) {
-    if (of != null && call == of && channel.isActive()) {
+    Turns.readPending(channel);
+    if (of == null || call != of || !channel.isActive()) {
+      return;
+    }
+    boolean may = of.mayFinish();
+    if (call != of) {
+      return;
+    }
+    if (may) {
       gate.letGo().addListener(this::lastWritten);
+    } else {
+      end(Result.NOT_SENT);
+      close();
     }
   }
 
--- a/src/main/java/hazelspoke/core/Attempt.java
+++ b/src/main/java/hazelspoke/core/Attempt.java
@@ -153,7 +153,12 @@
 
   @Override
   public boolean mayBegin() {
-    return services.clock().nowMs() < beginBy;
+    return services.guard().mayBegin(x, beginBy) == SendGuard.Verdict.ALLOWED;
+  }
+
+  @Override
+  public boolean mayFinish() {
+    return services.guard().mayFinish(x, beginBy) == SendGuard.Verdict.ALLOWED;
   }
 
   @Override
@@ -164,12 +169,15 @@
   @Override
   public double remainingMs() {
     double leftMs = Math.max(0, x.patienceMs(services.clock().nowMs()));
-    return leftMs < Double.POSITIVE_INFINITY ? leftMs : x.request().remainingMs();
+    double told = leftMs < Double.POSITIVE_INFINITY ? leftMs : x.request().remainingMs();
+    services.guard().onTold(x, told);
+    return told;
   }
 
   @Override
   public void sent() {
     wasSent = true;
+    services.guard().onSent(x);
     Request request = x.request();
     if (request != null && request.body().rest() != null) {
       uploadMs = elapsedMs();
--- a/src/main/java/hazelspoke/core/Client.java
+++ b/src/main/java/hazelspoke/core/Client.java
@@ -7,4 +7,10 @@
    * called once the client was said to have gone.
    */
   void answer(Answer answer);
+
+  /**
+   * Reads at once whatever the client has sent or ended by now: its end is told to the {@link
+   * Intake} before this returns. Does not wait.
+   */
+  void readPending();
 }
--- a/src/main/java/hazelspoke/core/CoreServices.java
+++ b/src/main/java/hazelspoke/core/CoreServices.java
@@ -11,6 +11,13 @@
  * @param timers tells attempts and probes when they time out
  * @param lag what the loop has lost, so that no host is blamed for it
  * @param meter counts what is sent
+ * @param guard says whether something may still be sent
  */
 record CoreServices(
-    EventLoop loop, Clock clock, Hosts hosts, Timers timers, LoopLag lag, Meter meter) {}
+    EventLoop loop,
+    Clock clock,
+    Hosts hosts,
+    Timers timers,
+    LoopLag lag,
+    Meter meter,
+    SendGuard guard) {}
--- a/src/main/java/hazelspoke/core/Dispatcher.java
+++ b/src/main/java/hazelspoke/core/Dispatcher.java
@@ -38,6 +38,7 @@
   private final LoopLag lag;
   private final Timers timers;
   private final CoreServices services;
+  private final Violations violations;
   private final Map<String, Exchange> exchanges = new HashMap<>();
 
   /** The clients' own ids of the requests that are owed an answer. */
@@ -49,6 +50,9 @@
   private long taken;
   private int owed;
 
+  /** When this process has to have answered all; infinite until it is told to end. */
+  private double endsBy = Double.POSITIVE_INFINITY;
+
   /** One that takes at most {@code openCap} requests at a time and refuses what comes beyond. */
   public Dispatcher(
       EventLoop loop,
@@ -69,7 +73,14 @@
     this.meter = meter;
     lag = new LoopLag(loop, clock);
     timers = new Timers(loop, clock);
-    services = new CoreServices(loop, clock, hosts, timers, lag, meter);
+    violations = new Violations(log, meter);
+    services =
+        new CoreServices(loop, clock, hosts, timers, lag, meter, new SendGuard(clock, violations));
+  }
+
+  /** Where whatever must not happen is counted. */
+  public Violations violations() {
+    return violations;
   }
 
   public void start(Balancer module, Discovery client) {
@@ -101,6 +112,30 @@
     }
   }
 
+  /**
+   * This process ends: whatever is in hand and whatever still comes has to be answered by then, and
+   * no host is told that it has longer.
+   */
+  public void endBy(double byMs) {
+    endsBy = byMs;
+    for (Exchange x : List.copyOf(exchanges.values())) {
+      if (!x.ended && byMs < x.deadline) {
+        x.endBy(byMs);
+        limit(x);
+      }
+    }
+  }
+
+  /** Sees to it that neither it nor its attempts are waited for beyond its deadline. */
+  private void limit(Exchange x) {
+    double now = clock.nowMs();
+    timers.remove(x.overdue);
+    timers.add(x.overdue, x.deadline + OVERDUE_MS - now);
+    for (Attempt attempt : x.attempts) {
+      attempt.limit(x.patienceMs(now));
+    }
+  }
+
   /** Fails all that is in hand: this process ends before they could be answered otherwise. */
   public void failAll() {
     List<Exchange> left = exchanges.values().stream().filter(x -> !x.ended).toList();
@@ -194,7 +229,7 @@
     answerOverdue();
     double now = clock.nowMs();
     x.lostBefore = lag.lostMs();
-    RequestInfo info = x.taken(Long.toString(taken++), now, lag.waitedMs());
+    RequestInfo info = x.taken(Long.toString(taken++), now, lag.waitedMs(), endsBy);
     owed++;
     meter.taken();
     if (owed > openCap) {
@@ -280,12 +315,8 @@
     if (x.ended) {
       return;
     }
-    double now = clock.nowMs();
-    x.whole(now, lag.waitedMs());
-    timers.add(x.overdue, x.deadline + OVERDUE_MS - now);
-    for (Attempt attempt : x.attempts) {
-      attempt.limit(x.patienceMs(now));
-    }
+    x.whole(clock.nowMs(), lag.waitedMs(), endsBy);
+    limit(x);
   }
 
   /** What is kept of requests: those in hand, attempts still out, and what is to become due. */
--- a/src/main/java/hazelspoke/core/Exchange.java
+++ b/src/main/java/hazelspoke/core/Exchange.java
@@ -87,14 +87,25 @@
     return share;
   }
 
-  /** The rest has come as well. */
-  void whole(double now, double waitedMs) {
-    due(now - waitedMs + request.remainingMs());
+  /**
+   * The rest has come as well.
+   *
+   * @param endsBy when this process has to have answered all; infinite as long as it goes on
+   */
+  void whole(double now, double waitedMs, double endsBy) {
+    due(now - waitedMs + request.remainingMs(), endsBy);
+  }
+
+  /** This process ends: it has to be answered by then, however long its client would wait. */
+  void endBy(double endsBy) {
+    if (endsBy < deadline) {
+      due(endsBy, endsBy);
+    }
   }
 
-  private void due(double when) {
-    deadline = when;
-    answerBy = when - Math.min(MOST_SPARE_MS, SPARE_PART * request.remainingMs());
+  private void due(double when, double endsBy) {
+    deadline = Math.min(when, endsBy);
+    answerBy = deadline - Math.min(MOST_SPARE_MS, SPARE_PART * request.remainingMs());
   }
 
   /**
@@ -107,10 +118,10 @@
   }
 
   /** The request is whole: its time has been running since it lay ready to be read. */
-  RequestInfo taken(String ownId, double now, double waitedMs) {
+  RequestInfo taken(String ownId, double now, double waitedMs, double endsBy) {
     id = ownId;
-    double ifWholeNow = now - waitedMs + request.remainingMs();
-    due(request.body().rest() == null ? ifWholeNow : Double.POSITIVE_INFINITY);
+    double ifWholeNow = Math.min(endsBy, now - waitedMs + request.remainingMs());
+    due(request.body().rest() == null ? ifWholeNow : Double.POSITIVE_INFINITY, endsBy);
     return new RequestInfo(
         id,
         request.requestClass(),
--- a/src/main/java/hazelspoke/core/HostCall.java
+++ b/src/main/java/hazelspoke/core/HostCall.java
@@ -10,9 +10,15 @@
   /** What is asked, for as long as it may have to be written; null asks for the host's load. */
   Request request();
 
-  /** Whether it may still be written; asked when its turn has come, and no means it never ran. */
+  /**
+   * Whether its first byte may be written now; no means it never ran. Asked right before that, and
+   * may give the call's ticket up.
+   */
   boolean mayBegin();
 
+  /** The same of its last byte, where that is kept back. */
+  boolean mayFinish();
+
   /** How long an answer is awaited from now on, in milliseconds; asked when it is written. */
   double remainingMs();
 
--- a/src/main/java/hazelspoke/core/LoadProbe.java
+++ b/src/main/java/hazelspoke/core/LoadProbe.java
@@ -60,6 +60,11 @@
     return true;
   }
 
+  @Override
+  public boolean mayFinish() {
+    return true;
+  }
+
   @Override
   public double remainingMs() {
     return TIMEOUT_MS;
--- a/src/main/java/hazelspoke/core/Meter.java
+++ b/src/main/java/hazelspoke/core/Meter.java
@@ -22,6 +22,9 @@
 
         @Override
         public void late(LateAnswer why) {}
+
+        @Override
+        public void violated(Violations.Kind kind) {}
       };
 
   /** A request was taken: it is owed an answer from now on. */
@@ -38,4 +41,7 @@
 
   /** An answer left after its client had stopped waiting. */
   void late(LateAnswer why);
+
+  /** Something came about that never must. */
+  void violated(Violations.Kind kind);
 }
--- a/src/main/java/hazelspoke/front/http/ClientConnection.java
+++ b/src/main/java/hazelspoke/front/http/ClientConnection.java
@@ -6,10 +6,12 @@
 import hazelspoke.core.Client;
 import hazelspoke.core.Exchange;
 import hazelspoke.core.Inflow;
+import hazelspoke.core.Violations;
 import hazelspoke.http.BodyWriter;
 import hazelspoke.http.HeadWriter;
 import hazelspoke.http.Headers;
 import hazelspoke.http.ReadingSource;
+import hazelspoke.net.Turns;
 import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
@@ -28,6 +30,7 @@
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
 import io.netty.util.concurrent.Future;
+import java.io.IOException;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
 import java.util.Deque;
@@ -64,7 +67,12 @@
     /** A whole request has not been answered. */
     IN_HAND,
     /** An answer is being written. */
-    ANSWERING
+    ANSWERING;
+
+    /** Whether bytes of a request were read that has had no whole answer. */
+    boolean isOwing() {
+      return this == HEAD || this == READING || this == IN_HAND || this == ANSWERING;
+    }
   }
 
   private final ClientServer server;
@@ -133,15 +141,77 @@
     heardAt = server.nowMs();
     if (state == State.FRESH || state == State.IDLE) {
       enter(State.HEAD);
+      if (server.isSettled()) {
+        turnAway(HttpResponseStatus.SERVICE_UNAVAILABLE, "closing");
+      }
     }
   }
 
-  void close() {
+  private void close() {
     // At once, as the channel tells of its end on a later turn.
     server.closed(this);
     channel.close();
   }
 
+  /** Closes it from here, where its client is not known to have gone. */
+  private void closeUnasked() {
+    if (state.isOwing() && channel.isActive()) {
+      server.violated(Violations.Kind.CLOSED_UNANSWERED, describe());
+    }
+    close();
+  }
+
+  /** The request that is open here, for the log. */
+  String describe() {
+    Exchange open = exchange != null ? exchange : answering;
+    String txn = open == null || open.request() == null ? "of no id" : open.request().txn();
+    return txn + " (" + state + ")";
+  }
+
+  @Override
+  public void readPending() {
+    Turns.readPending(channel);
+    if (!channel.isActive()) {
+      // The channel tells of its end on a later turn, which may be too late.
+      ended();
+    }
+  }
+
+  /**
+   * Makes room for others. What a client has sent by now is read first; one whose request has begun
+   * to come is answered, and its connection ends behind that.
+   */
+  void makeRoom() {
+    State seen = state;
+    readPending();
+    if (state != seen || !channel.isActive()) {
+      return;
+    }
+    if (state == State.HEAD || state == State.READING) {
+      turnAway(HttpResponseStatus.SERVICE_UNAVAILABLE, "no room for a slow request");
+    } else {
+      closeUnasked();
+    }
+  }
+
+  /**
+   * This process ends now: a request that is still coming is refused, and nothing is read as one
+   * any more. Reads first what its client has sent by now.
+   */
+  void settle() {
+    readPending();
+    if (!channel.isActive()) {
+      return;
+    }
+    switch (state) {
+      case HEAD, READING -> turnAway(HttpResponseStatus.SERVICE_UNAVAILABLE, "closing");
+      case FRESH, IDLE -> closeGracefully();
+      default -> {
+        // Its answer is on its way, or it has had it.
+      }
+    }
+  }
+
   private void enter(State next) {
     State before = state;
     state = next;
@@ -221,12 +291,17 @@
 
   /** The request did not become whole in time, or none came. */
   void expire() {
-    if (state == State.READING) {
-      turnAway(HttpResponseStatus.REQUEST_TIMEOUT, "the request did not become whole");
-    } else if (state == State.IDLE) {
-      closeGracefully();
-    } else {
-      close();
+    State seen = state;
+    readPending();
+    if (state != seen || !channel.isActive()) {
+      return;
+    }
+    switch (state) {
+      case HEAD, READING ->
+          turnAway(HttpResponseStatus.REQUEST_TIMEOUT, "the request did not become whole");
+      case IDLE -> closeGracefully();
+      // It never said anything, or has not taken what was written for it in good time.
+      default -> close();
     }
   }
 
@@ -368,6 +443,14 @@
 
   @Override
   public void answer(Answer answer) {
+    if (state == State.ANSWERING || state == State.CLOSING) {
+      server.violated(Violations.Kind.ANSWERED_TWICE, describe());
+      if (answer.outcome() == Answer.Outcome.SERVED) {
+        answer.share().release();
+        answer.body().abandon();
+      }
+      return;
+    }
     switch (answer.outcome()) {
       case SERVED -> served(answer);
       case REFUSED -> own(HttpResponseStatus.SERVICE_UNAVAILABLE, answer.retryAfterMs());
@@ -509,11 +592,37 @@
 
   @Override
   public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
-    close();
+    boolean broken = cause instanceof IOException;
+    if (!broken) {
+      server.failed(cause);
+    }
+    if (broken || !channel.isActive()) {
+      close();
+    } else if (state == State.ANSWERING || state == State.CLOSING) {
+      closeUnasked();
+    } else {
+      failOwn();
+    }
+  }
+
+  /** A fault of this program: whoever asked is told, and nothing behind it is read. */
+  private void failOwn() {
+    keepAlive = false;
+    if (state == State.IN_HAND && exchange != null) {
+      server.clientGone(exchange);
+      exchange = null;
+    }
+    dropExchange();
+    answer(HttpResponseStatus.INTERNAL_SERVER_ERROR, "a fault of this gateway", 0);
   }
 
   @Override
   public void channelInactive(ChannelHandlerContext ctx) {
+    ended();
+  }
+
+  /** The connection has ended: nothing more is done for who was there. May be told twice. */
+  private void ended() {
     server.closed(this);
     if (writer != null) {
       BodyWriter unfinished = writer;
--- a/src/main/java/hazelspoke/front/http/ClientServer.java
+++ b/src/main/java/hazelspoke/front/http/ClientServer.java
@@ -5,8 +5,10 @@
 import hazelspoke.core.Clock;
 import hazelspoke.core.Exchange;
 import hazelspoke.core.Intake;
+import hazelspoke.core.Log;
 import hazelspoke.core.Names;
 import hazelspoke.core.Request;
+import hazelspoke.core.Violations;
 import hazelspoke.front.http.ClientConnection.State;
 import hazelspoke.http.HttpLimits;
 import hazelspoke.net.Buffers;
@@ -75,6 +77,8 @@
   private ClassBook classes;
   private final Intake intake;
   private final ByteBudget bodyBudget;
+  private final Log log;
+  private final Violations violations;
   private final int mostConnections;
 
   /** All connections by what they are at, the longest so first. */
@@ -87,6 +91,9 @@
   private boolean leaving;
   private boolean handedOver;
 
+  /** Whether whatever still comes is refused: this process ends. */
+  private boolean settled;
+
   /** When the drain by operators began; infinite when there is none. Any thread may set it. */
   private volatile double drainingSince = Double.POSITIVE_INFINITY;
 
@@ -97,6 +104,8 @@
       ClassBook classes,
       Intake intake,
       ByteBudget bodyBudget,
+      Log log,
+      Violations violations,
       int mostConnections) {
     this.loop = loop;
     this.clock = clock;
@@ -104,6 +113,8 @@
     this.classes = classes;
     this.intake = intake;
     this.bodyBudget = bodyBudget;
+    this.log = log;
+    this.violations = violations;
     this.mostConnections = Math.max(1, mostConnections - ACCEPTED_AT_ONCE);
     for (State state : State.values()) {
       byState.put(state, new LinkedHashSet<>());
@@ -178,7 +189,7 @@
         makeRoomAfter((long) FRESH_MS);
         return;
       }
-      victim.close();
+      victim.makeRoom();
     }
     listener.config().setAutoRead(true);
   }
@@ -188,10 +199,11 @@
       Set<ClientConnection> candidates = byState.get(state);
       if (!candidates.isEmpty()) {
         ClientConnection longest = candidates.iterator().next();
-        if (state == State.CLOSING || now - longest.enteredAt() >= FRESH_MS) {
+        if (now - longest.enteredAt() >= FRESH_MS) {
           return longest;
         }
-        // The new ones will speak or make room in a moment: no resting one need leave for them.
+        // The new ones will speak or make room in a moment, and who was answered has read it by
+        // then: no resting one need leave for them.
         return null;
       }
     }
@@ -239,6 +251,16 @@
     }
   }
 
+  /** Counts what must never happen. */
+  void violated(Violations.Kind kind, String request) {
+    violations.count(kind, request);
+  }
+
+  /** Notes an error of this program's own. */
+  void failed(Throwable cause) {
+    log.failure("a connection of a client's", cause);
+  }
+
   /** What may be asked for from now on. */
   public void reload(ClassBook next) {
     classes = next;
@@ -348,12 +370,38 @@
     return true;
   }
 
+  /**
+   * This process ends: whoever's request is still coming is refused at once, also on connections
+   * that come from now on. What had come whole has to be answered before this.
+   */
+  public void settle() {
+    closeListener();
+    settled = true;
+    for (State state : State.values()) {
+      List.copyOf(byState.get(state)).forEach(ClientConnection::settle);
+    }
+  }
+
+  /** Whether no request is taken any more, however late it comes. */
+  boolean isSettled() {
+    return settled;
+  }
+
+  /** Counts whoever has no answer as this process ends; nobody has any more time then. */
+  public void checkExit() {
+    for (State state : State.values()) {
+      if (state.isOwing()) {
+        byState.get(state).forEach(c -> violated(Violations.Kind.EXIT_UNANSWERED, c.describe()));
+      }
+    }
+  }
+
   /**
    * Whether nothing is owed to anybody any more: asked again and again in a leave, each time after
    * the sockets were read. Who is new has a moment to say something, and who was told good-bye one
    * to go: an end on what a client still sends would reset the answer on its way to it.
    */
-  public boolean isSettled() {
+  public boolean hasNobodyWaiting() {
     expire(State.FRESH, LEAVE_MS);
     double before = clock.nowMs() - LEAVE_MS;
     return closeListener()
--- a/src/main/java/hazelspoke/net/Turns.java
+++ b/src/main/java/hazelspoke/net/Turns.java
@@ -1,6 +1,8 @@
 package hazelspoke.net;
 
+import io.netty.channel.Channel;
 import io.netty.channel.EventLoop;
+import io.netty.channel.nio.AbstractNioChannel;
 import java.util.concurrent.TimeUnit;
 
 /**
@@ -26,6 +28,21 @@
     loop.execute(() -> look(loop, task, MOST_LOOKS));
   }
 
+  /**
+   * Reads at once what lies at one socket, whatever the last look at all of them said: what its
+   * peer has sent is handled, and its end is told, before this returns. To be called right before
+   * something is begun for that peer or its connection is ended, as the loop may have stood still
+   * since it looked. Costs one call of the kernel; on the loop, and not while that channel is being
+   * read.
+   */
+  public static void readPending(Channel channel) {
+    if (channel.isActive()
+        && channel.config().isAutoRead()
+        && channel.unsafe() instanceof AbstractNioChannel.NioUnsafe socket) {
+      socket.read();
+    }
+  }
+
   /** For a task of the loop: due timers are fetched before these, and so are of the next turn. */
   private static void look(EventLoop loop, Runnable task, int looksLeft) {
     long askedAt = loop.ticker().nanoTime();
--- a/src/main/java/hazelspoke/node/Gateway.java
+++ b/src/main/java/hazelspoke/node/Gateway.java
@@ -52,14 +52,6 @@
   /** New connections come for up to 400 ms after SIGTERM. */
   private static final long ACCEPT_ON_MS = 500;
 
-  /**
-   * SIGKILL may come this long after the longest deadline at the earliest: 700 ms, less a margin
-   * and the time for the last answers.
-   */
-  private static final long DRAIN_MARGIN_MS = 550;
-
-  private static final long LAST_WORDS_MS = 50;
-
   /** Nor is a longer deadline waited for than this, which SIGKILL need not do either. */
   static final long MOST_DEADLINE_MS = 3_000;
 
@@ -91,6 +83,7 @@
   private final Log log;
   private final Transport transport;
   private final CountDownLatch drained = new CountDownLatch(1);
+  private final CountDownLatch settled = new CountDownLatch(1);
   private DiscoveryClient discovery;
   private Dispatcher dispatcher;
 
@@ -373,6 +366,8 @@
             classes,
             dispatcher,
             new ByteBudget(BODY_BYTES),
+            log,
+            dispatcher.violations(),
             clientSockets);
     return clients.listen(transport, config.listen(), succession != null);
   }
@@ -462,7 +457,7 @@
       return;
     }
     double longestMs = Math.min(mostDeadlineMs, classes.longestDeadlineMs(clock.nowMs()));
-    long mostMs = (long) longestMs + DRAIN_MARGIN_MS;
+    ShutdownPlan plan = ShutdownPlan.begin(clock.nowMs(), longestMs);
     boolean followed = succession != null && succession.isFollowed();
     loop.execute(
         () -> {
@@ -478,20 +473,24 @@
           } else {
             clients.drain();
           }
+          dispatcher.endBy(plan.settleByMs());
           loop.schedule(
               () -> Turns.afterReading(loop, this::stopListening),
               ACCEPT_ON_MS,
               TimeUnit.MILLISECONDS);
+          long settleInMs = (long) Math.max(0, plan.settleByMs() - clock.nowMs());
+          loop.schedule(
+              () -> Turns.afterReading(loop, this::settle), settleInMs, TimeUnit.MILLISECONDS);
         });
     try {
-      if (!drained.await(mostMs, TimeUnit.MILLISECONDS)) {
-        // What is given up on is answered: as failed, while there still is a moment.
-        loop.execute(dispatcher::failAll);
-        drained.await(LAST_WORDS_MS, TimeUnit.MILLISECONDS);
+      if (!drained.await(plan.leftMs(clock.nowMs()), TimeUnit.MILLISECONDS)) {
+        // Never before all has its answer, however long this process was held up.
+        settled.await(ShutdownPlan.HELD_UP_MS, TimeUnit.MILLISECONDS);
       }
     } catch (InterruptedException e) {
       Thread.currentThread().interrupt();
     }
+    checkExit();
     if (fleet != null) {
       fleet.leave();
     }
@@ -519,8 +518,29 @@
   }
 
   private void checkDrained() {
-    if (clients.isSettled()) {
+    if (clients.hasNobodyWaiting()) {
       drained.countDown();
     }
   }
+
+  /** All that is owed is answered now, as failed or refused: SIGKILL may come soon. */
+  private void settle() {
+    dispatcher.failAll();
+    clients.settle();
+    settled.countDown();
+  }
+
+  private void checkExit() {
+    try {
+      loop.submit(
+              () -> {
+                if (clients != null) {
+                  clients.checkExit();
+                }
+              })
+          .await(ShutdownPlan.HELD_UP_MS, TimeUnit.MILLISECONDS);
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
 }
--- a/src/main/java/hazelspoke/operations/Figures.java
+++ b/src/main/java/hazelspoke/operations/Figures.java
@@ -6,6 +6,7 @@
 import hazelspoke.core.Answer;
 import hazelspoke.core.LateAnswer;
 import hazelspoke.core.Meter;
+import hazelspoke.core.Violations;
 import java.util.ArrayList;
 import java.util.EnumMap;
 import java.util.List;
@@ -40,6 +41,7 @@
   private final Counter loadErrors = registry.counter("load_errors");
   private final List<OfClass> classes = new ArrayList<>();
   private final Map<LateAnswer, Counter> late = new EnumMap<>(LateAnswer.class);
+  private final Map<Violations.Kind, Counter> violations = new EnumMap<>(Violations.Kind.class);
   private volatile int knownHosts;
   private volatile int skippedHosts;
 
@@ -50,6 +52,10 @@
     for (LateAnswer why : LateAnswer.values()) {
       late.put(why, registry.counter("late." + why.name().toLowerCase(Locale.ROOT)));
     }
+    for (Violations.Kind kind : Violations.Kind.values()) {
+      String name = kind.name().toLowerCase(Locale.ROOT);
+      violations.put(kind, registry.counter("violations." + name));
+    }
     nameClasses(classNames);
   }
 
@@ -92,6 +98,11 @@
     late.get(why).inc();
   }
 
+  @Override
+  public void violated(Violations.Kind kind) {
+    violations.get(kind).inc();
+  }
+
   /** Counts a file of new settings, taken or turned down. */
   public void loaded(boolean good) {
     (good ? loads : loadErrors).inc();
--- a/src/test/java/hazelspoke/core/CoreRig.java
+++ b/src/test/java/hazelspoke/core/CoreRig.java
@@ -30,6 +30,9 @@
     Request request;
     Exchange exchange;
 
+    @Override
+    public void readPending() {}
+
     @Override
     public void answer(Answer answer) {
       answers.add(answer);
--- a/src/test/java/hazelspoke/node/BulkTest.java
+++ b/src/test/java/hazelspoke/node/BulkTest.java
@@ -262,6 +262,7 @@
       Rig.send(client, request.substring(cut));
       assertThat(Rig.receive(client)).startsWith("HTTP/1.1 200");
       Rig.send(client, request.substring(0, cut));
+      assertThat(Rig.receive(client)).startsWith("HTTP/1.1 408").contains("connection: close");
       assertThat(Rig.receive(client)).isNull();
     }
   }
--- a/src/test/java/hazelspoke/node/RepeatedAnswerTest.java
+++ b/src/test/java/hazelspoke/node/RepeatedAnswerTest.java
@@ -131,6 +131,11 @@
       return true;
     }
 
+    @Override
+    public boolean mayFinish() {
+      return true;
+    }
+
     @Override
     public double remainingMs() {
       return Rig.PATIENCE_MS;
