--- a/src/main/java/hazelspoke/core/Violations.java
+++ b/src/main/java/hazelspoke/core/Violations.java
@@ -32,7 +32,8 @@
   private final Log log;
   private final Meter meter;
 
-  Violations(Log log, Meter meter) {
+  /** One that writes to this log and counts at this meter. */
+  public Violations(Log log, Meter meter) {
     this.log = log;
     this.meter = meter;
   }
--- a/src/main/java/hazelspoke/emulator/run/Faults.java
+++ b/src/main/java/hazelspoke/emulator/run/Faults.java
@@ -142,6 +142,7 @@
       case GATEWAY_KILL, DISK_TORN, DISK_FLIPPED, DISK_LOST -> gateways.kill(gate);
       case DISK_FULL -> gateways.fillDisk(gate);
       case GATEWAY_STOP -> gateways.stop(gate);
+      case GATEWAY_PAUSE -> gateways.pause(gate, fault.forMs());
       default -> gateways.hangUp(gate);
     }
   }
@@ -154,7 +155,7 @@
           Gateways.Gate gate = gateways.gate(name);
           if (fault.kind() == Fault.Kind.GATEWAY_STOP) {
             gateways.goOn(gate);
-          } else {
+          } else if (fault.kind() != Fault.Kind.GATEWAY_PAUSE) {
             if (fault.kind() == Fault.Kind.DISK_FULL) {
               gateways.kill(gate);
             }
--- a/src/main/java/hazelspoke/emulator/run/Gateways.java
+++ b/src/main/java/hazelspoke/emulator/run/Gateways.java
@@ -34,6 +34,11 @@
  * of that may hold up the stage's loop. Everything but that happens on the loop.
  */
 final class Gateways implements AutoCloseable {
+  /** What the lines of a gateway's log begin with that tell of a violation. */
+  private static final String VIOLATION = "violation: ";
+
+  private static final double MICROS_PER_MS = 1_000;
+
   private static final int GATEWAY_NET = 79;
   private static final int DISCOVERY_NET = 78;
   private static final int RECORD_NET = 77;
@@ -362,6 +367,35 @@
     undealLater(gate);
   }
 
+  /**
+   * SIGSTOP and, once the time is up, SIGCONT. Nothing that is lost meanwhile is excused, and the
+   * front does not notice.
+   */
+  void pause(Gate gate, double forMs) {
+    GatewayHandle handle = gate.handle;
+    operators.execute(
+        () -> {
+          handle.signal(Signal.STOP);
+          try {
+            TimeUnit.MICROSECONDS.sleep((long) (forMs * MICROS_PER_MS));
+          } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+          }
+          handle.signal(Signal.CONT);
+        });
+  }
+
+  /** What its process has said must never happen, a line each. */
+  List<String> violations(Gate gate) {
+    try {
+      return Files.readAllLines(gate.log).stream()
+          .filter(line -> line.contains(VIOLATION))
+          .toList();
+    } catch (IOException e) {
+      return List.of();
+    }
+  }
+
   /** SIGCONT. */
   void goOn(Gate gate) {
     signal(gate, Signal.CONT);
--- a/src/main/java/hazelspoke/emulator/run/Rehearsal.java
+++ b/src/main/java/hazelspoke/emulator/run/Rehearsal.java
@@ -365,6 +365,11 @@
           .forEach(
               what -> all.add(new Breach(Rule.RECORD, script.lengthMs(), "", what, List.of())));
     }
+    for (Gateways.Gate gate : gateways.all()) {
+      for (String line : gateways.violations(gate)) {
+        all.add(new Breach(Rule.VIOLATION, script.lengthMs(), "", line, List.of()));
+      }
+    }
     return List.copyOf(all);
   }
 
--- a/src/main/java/hazelspoke/emulator/script/Fault.java
+++ b/src/main/java/hazelspoke/emulator/script/Fault.java
@@ -67,6 +67,8 @@
     GATEWAY_KILL(Subject.GATEWAYS, true),
     /** SIGSTOP, and SIGCONT when the time is up. */
     GATEWAY_STOP(Subject.GATEWAYS, true),
+    /** SIGSTOP for so short a time that a gateway has to keep every rule all the same. */
+    GATEWAY_PAUSE(Subject.GATEWAYS, true),
     GATEWAY_HUP(Subject.GATEWAYS, false),
     /** Nothing more can be written to files; the gateway starts again when the time is up. */
     DISK_FULL(Subject.GATEWAYS, true),
--- a/src/main/java/hazelspoke/emulator/script/ScriptReader.java
+++ b/src/main/java/hazelspoke/emulator/script/ScriptReader.java
@@ -249,7 +249,7 @@
   /** What a process of its own can be struck by is what a signal can do. */
   private static void checkFits(Table t, Kind kind, Target target, Script.Fleet fleet)
       throws ScriptException {
-    if (kind == Kind.GATEWAY_STOP && fleet.inProcess()) {
+    if ((kind == Kind.GATEWAY_STOP || kind == Kind.GATEWAY_PAUSE) && fleet.inProcess()) {
       throw t.fail("what", "expected gateways to be processes: fleet.in_process must be false");
     }
     if (kind.isOfDisks() && (fleet.voters() == 0 || fleet.inProcess())) {
--- a/src/main/java/hazelspoke/emulator/torment/FaultDraw.java
+++ b/src/main/java/hazelspoke/emulator/torment/FaultDraw.java
@@ -33,6 +33,12 @@
   private static final List<Kind> AT_GATEWAYS =
       List.of(Kind.GATEWAY_KILL, Kind.GATEWAY_STOP, Kind.GATEWAY_TERM);
 
+  /** Of so many faults at gateways one is a pause, which may also strike one that is ending. */
+  private static final int PAUSES = 2;
+
+  private static final double SHORTEST_PAUSE_MS = 50;
+  private static final double LONGEST_PAUSE_MS = 150;
+
   private static final List<Kind> AT_DISKS =
       List.of(Kind.DISK_FULL, Kind.DISK_TORN, Kind.DISK_FLIPPED, Kind.DISK_LOST);
 
@@ -126,6 +132,9 @@
   private Fault one(double at, double forMs) {
     int side = random.nextInt(SIDES);
     if (side == 0) {
+      if (random.nextInt(PAUSES) == 0) {
+        return pause(at);
+      }
       boolean disk = script.fleet().voters() > 0 && random.nextBoolean();
       return atProcess(
           disk ? disk() : pick(AT_GATEWAYS), "g", script.fleet().gateways(), at, forMs);
@@ -149,6 +158,13 @@
     return kind;
   }
 
+  private Fault pause(double at) {
+    String name = "g" + (1 + random.nextInt(script.fleet().gateways()));
+    double forMs = rounded(Draws.between(random, SHORTEST_PAUSE_MS, LONGEST_PAUSE_MS));
+    Target target = new Target(List.of(name), 1, null, null, List.of());
+    return fault(Kind.GATEWAY_PAUSE, at, forMs, target);
+  }
+
   /** Null where the one that chance has chosen is not over its last fault yet. */
   private Fault atProcess(Kind kind, String letter, int count, double at, double forMs) {
     String name = letter + (1 + random.nextInt(count));
--- a/src/main/java/hazelspoke/front/http/ClientServer.java
+++ b/src/main/java/hazelspoke/front/http/ClientServer.java
@@ -18,6 +18,8 @@
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
@@ -68,6 +70,9 @@
   /** In a leave: for a new client to speak, and for one that was told good-bye to go. */
   private static final double LEAVE_MS = 250;
 
+  /** After a client could not be let in, until the next try. */
+  private static final long ACCEPT_AGAIN_MS = 10;
+
   /** One turn accepts up to this many before the limit is looked at. */
   private static final int ACCEPTED_AT_ONCE = 16;
 
@@ -135,6 +140,7 @@
             .group(loop)
             .channel(transport.server())
             .option(ChannelOption.SO_BACKLOG, BACKLOG)
+            .handler(new AcceptFailures())
             .childOption(ChannelOption.ALLOCATOR, Buffers.ALLOCATOR)
             .childOption(ChannelOption.RECVBUF_ALLOCATOR, Buffers.reads())
             .childOption(ChannelOption.WRITE_BUFFER_WATER_MARK, Buffers.WATER_MARK)
@@ -169,6 +175,21 @@
     }
   }
 
+  /**
+   * Accepting may fail for a moment, as a client leaves or descriptors run out. Netty's own handler
+   * would let nobody in for a second then, which is longer than many requests have.
+   */
+  private final class AcceptFailures extends ChannelInboundHandlerAdapter {
+    @Override
+    public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+      log.failure("a client could not be let in", cause);
+      ctx.channel().config().setAutoRead(false);
+      if (!makingRoom) {
+        makeRoomAfter(ACCEPT_AGAIN_MS);
+      }
+    }
+  }
+
   private void makeRoomAfter(long delayMs) {
     makingRoom = true;
     loop.schedule(() -> Turns.afterReading(loop, this::makeRoom), delayMs, TimeUnit.MILLISECONDS);
