Let the soak's clients send slowly, so that it convicts a process that forgets half-read requests

Change: scripts take `slow_share` and `slow_ms`: that share of the requests with a body come in two parts; the judge counts as lost what was begun over 0.5 s before its connection ended without an answer; SoakTest tells ten of its 36 processes to end, one a second, with time to do so.

--- a/src/main/java/hazelspoke/emulator/judge/Judge.java
+++ b/src/main/java/hazelspoke/emulator/judge/Judge.java
@@ -24,6 +24,9 @@
 
   static final int MOST_ATTEMPTS = 5;
 
+  /** What was begun longer than this before a connection ended did not cross its end. */
+  private static final double MOST_CROSSING_MS = 500;
+
   /** A fall counts against the gateways when this part of the work came from ones that knew. */
   static final double KNOWING_SHARE = 2.0 / 3;
 
@@ -112,7 +115,7 @@
       case CLOSED -> {
         // One that crossed the close, or that a fresh connection had nothing sent on for, has
         // failed and may be asked again.
-        if (!attempts.isEmpty()) {
+        if (!attempts.isEmpty() || t.endedAt - t.begunAt > MOST_CROSSING_MS) {
           breach(Rule.LOST, t, attempts, "the connection ended without an answer");
         }
       }
--- a/src/main/java/hazelspoke/emulator/judge/Ledger.java
+++ b/src/main/java/hazelspoke/emulator/judge/Ledger.java
@@ -40,6 +40,9 @@
     /** When its last byte was written; NaN as long as it was not. */
     public double sentAt = Double.NaN;
 
+    /** When its first byte was written; NaN as long as it was not. */
+    public double begunAt = Double.NaN;
+
     /** When its client stops waiting. */
     public double deadline;
 
--- a/src/main/java/hazelspoke/emulator/net/Clients.java
+++ b/src/main/java/hazelspoke/emulator/net/Clients.java
@@ -20,8 +20,12 @@
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.DefaultHttpContent;
+import io.netty.handler.codec.http.DefaultHttpRequest;
+import io.netty.handler.codec.http.DefaultLastHttpContent;
 import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpClientCodec;
+import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
@@ -48,6 +52,11 @@
   /** Draws that belong to a request: who heeds advice. */
   private static final long HONOUR = 101;
 
+  /** Which requests come slowly, and how slowly. */
+  private static final long SLOW = 102;
+
+  private static final long SLOW_FOR = 103;
+
   private final Stage stage;
   private final Script script;
   private final long seed;
@@ -255,7 +264,9 @@
         return;
       }
       tries++;
-      double deadline = now + left;
+      double restMs = restMs();
+      // Its time runs from its last byte.
+      double deadline = now + restMs + left;
       String txn = txn();
       Try t =
           ledger.asked(
@@ -266,8 +277,41 @@
               c.requests == 0,
               deadline);
       c.begin(this, t);
+      t.begunAt = now;
+      DefaultFullHttpRequest whole = head(txn, left);
+      if (restMs == 0) {
+        last(c, t, whole);
+        return;
+      }
+      ByteBuf body = whole.content();
+      HttpContent first = new DefaultHttpContent(body.readBytes(1));
+      c.channel.write(
+          new DefaultHttpRequest(
+              whole.protocolVersion(), whole.method(), whole.uri(), whole.headers()));
+      c.channel.writeAndFlush(first);
+      stage.at(now + restMs, () -> complete(c, t, body));
+    }
+
+    /** How much later than its head the rest of a request comes; 0 for most. */
+    private double restMs() {
+      long number = 64L * arrival.number() + tries;
+      boolean slow =
+          type.effect() != Script.Effect.REPEATABLE
+              && Draws.unit(seed, number, SLOW) < script.load().slowShare();
+      return slow ? script.load().slowMs() * Draws.unit(seed, number, SLOW_FOR) : 0;
+    }
+
+    private void complete(Connection c, Try t, ByteBuf body) {
+      if (c.current == t) {
+        last(c, t, new DefaultLastHttpContent(body));
+      } else {
+        body.release();
+      }
+    }
+
+    private void last(Connection c, Try t, HttpContent message) {
       c.channel
-          .writeAndFlush(head(txn, left))
+          .writeAndFlush(message)
           .addListener(
               written -> {
                 if (written.isSuccess()) {
--- a/src/main/java/hazelspoke/emulator/script/Script.java
+++ b/src/main/java/hazelspoke/emulator/script/Script.java
@@ -126,6 +126,8 @@
    * @param retries how often a client asks again
    * @param tryShare a try is given up after this part of the deadline
    * @param honour the share of the clients that heed {@code Retry-After}
+   * @param slowShare the share of the requests with a body whose rest comes later than its head
+   * @param slowMs how much later at most, drawn evenly
    */
   public record Load(
       double rate,
@@ -137,6 +139,8 @@
       double backoffMs,
       double tryShare,
       double honour,
+      double slowShare,
+      double slowMs,
       List<Surge> surges) {
     public Load {
       surges = List.copyOf(surges);
--- a/src/main/java/hazelspoke/emulator/script/ScriptReader.java
+++ b/src/main/java/hazelspoke/emulator/script/ScriptReader.java
@@ -136,6 +136,8 @@
             t.number("backoff_ms", 100, 0, 10_000),
             t.number("try_share", 0.55, 0.05, 1),
             t.number("honour", 0.2, 0, 1),
+            t.number("slow_share", 0, 0, 1),
+            t.number("slow_ms", 1_000, 1, 1_900),
             surges);
     t.noOthers();
     return load;
--- a/src/main/java/hazelspoke/emulator/script/ScriptWriter.java
+++ b/src/main/java/hazelspoke/emulator/script/ScriptWriter.java
@@ -58,6 +58,8 @@
     number("backoff_ms", l.backoffMs());
     number("try_share", l.tryShare());
     number("honour", l.honour());
+    number("slow_share", l.slowShare());
+    number("slow_ms", l.slowMs());
     for (Script.Surge s : l.surges()) {
       head("[[load.surge]]");
       seconds("at_s", s.atMs());
--- a/src/test/java/hazelspoke/emulator/run/SoakTest.java
+++ b/src/test/java/hazelspoke/emulator/run/SoakTest.java
@@ -3,10 +3,14 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import hazelspoke.emulator.report.Results;
+import hazelspoke.emulator.script.Fault;
 import hazelspoke.emulator.script.Script;
 import hazelspoke.emulator.script.ScriptReader;
 import hazelspoke.emulator.torment.FaultDraw;
 import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
 import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
@@ -17,6 +21,8 @@
  * {@code bin/pumicetray torment rehearsals/soak.toml --seed N}; a seed plays the same faults again.
  */
 class SoakTest {
+  private static final int ENDINGS = 10;
+
   /** A process that is told to end does so by itself, before it is killed or started again. */
   private static final String SHORT_DEADLINES =
       RehearsalTest.WIDE
@@ -25,8 +31,25 @@
           .replace("deadline_ms = 20000", "deadline_ms = 1000")
           .replace("window_ms = 20000", "window_ms = 1000");
 
+  /** Gateways that are told to end, and have the time to; one a second. */
+  private static String endings() {
+    StringBuilder faults = new StringBuilder();
+    for (int i = 0; i < ENDINGS; i++) {
+      faults.append(
+          "[[fault]]\nwhat = \"gateway_term\"\nat_s = %d\nfor_s = 3\ngateways = [\"g%d\"]\n"
+              .formatted(1 + i, 1 + 3 * i));
+    }
+    return faults.toString();
+  }
+
   @TempDir Path folder;
 
+  /** Two faults of one process, pauses apart, would mean neither. */
+  private static boolean strikes(Fault fault, List<String> gateways) {
+    return fault.kind().subject() == Fault.Subject.GATEWAYS
+        && fault.target().names().stream().anyMatch(gateways::contains);
+  }
+
   @ParameterizedTest
   @ValueSource(longs = {5})
   void threeDozenProcessesKeepRulesAndInvariants(long seed) throws Exception {
@@ -41,12 +64,22 @@
             servers = 24
             [load]
             rate = 150
+            slow_share = 0.3
+            slow_ms = 1900
             [discovery]
             notice_s = 0.2
             add_s = 0.2
             """
-                + SHORT_DEADLINES);
-    Script script = fleet.withFaults(FaultDraw.draw(fleet, seed));
+                + SHORT_DEADLINES
+                + endings());
+    List<Fault> faults = new ArrayList<>(fleet.faults());
+    List<String> ending =
+        fleet.faults().stream().flatMap(f -> f.target().names().stream()).toList();
+    FaultDraw.draw(fleet, seed).stream()
+        .filter(f -> f.kind() == Fault.Kind.GATEWAY_PAUSE || !strikes(f, ending))
+        .forEach(faults::add);
+    faults.sort(Comparator.comparingDouble(Fault::atMs));
+    Script script = fleet.withFaults(faults);
     Results r = RehearsalTest.play(folder, script, TormentTest.processes());
     assertThat(r.breaches()).as("seed %d", seed).isEmpty();
     assertThat(r.crashes()).isZero();
