--- a/src/main/java/hazelspoke/emulator/run/Gateways.java
+++ b/src/main/java/hazelspoke/emulator/run/Gateways.java
@@ -14,6 +14,7 @@
 import hazelspoke.emulator.run.GatewayHandle.Signal;
 import hazelspoke.emulator.script.Fault;
 import java.io.IOException;
+import java.io.UncheckedIOException;
 import java.net.InetSocketAddress;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
@@ -385,14 +386,17 @@
         });
   }
 
-  /** What its process has said must never happen, a line each. */
+  /** What its process has said must never happen, a line each; none where it keeps no log. */
   List<String> violations(Gate gate) {
+    if (!Files.exists(gate.log)) {
+      return List.of();
+    }
     try {
       return Files.readAllLines(gate.log).stream()
           .filter(line -> line.contains(VIOLATION))
           .toList();
     } catch (IOException e) {
-      return List.of();
+      throw new UncheckedIOException("a gateway's log cannot be judged", e);
     }
   }
 
--- a/src/main/java/hazelspoke/front/http/ClientConnection.java
+++ b/src/main/java/hazelspoke/front/http/ClientConnection.java
@@ -605,10 +605,11 @@
     }
     if (broken || !channel.isActive()) {
       close();
-    } else if (state == State.ANSWERING || state == State.CLOSING) {
-      closeUnasked();
-    } else {
+    } else if (state.isOwing() && state != State.ANSWERING) {
       failOwn();
+    } else {
+      // Where nothing is asked an answer would be taken for that to the next request.
+      closeUnasked();
     }
   }
 
--- a/src/test/java/hazelspoke/front/http/AcceptFailuresTest.java
+++ b/src/test/java/hazelspoke/front/http/AcceptFailuresTest.java
@@ -9,7 +9,10 @@
 import hazelspoke.core.Violations;
 import hazelspoke.net.EventLoops;
 import hazelspoke.net.Transport;
+import hazelspoke.net.Turns;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.EventLoop;
 import io.netty.channel.EventLoopGroup;
 import java.io.ByteArrayOutputStream;
@@ -17,15 +20,22 @@
 import java.io.PrintStream;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 
-/** The system does not let a client in for a moment. */
+/** The system does not let a client in for a moment, or this program errs at one. */
 class AcceptFailuresTest {
   /** The loop keeps to the order of its timers, and Netty's own handler waits for 1 s. */
   private static final long WELL_WITHIN_A_SECOND_MS = 400;
 
+  private static final int PATIENCE_MS = 30_000;
+
   private final EventLoopGroup group = EventLoops.single();
   private final ByteArrayOutputStream text = new ByteArrayOutputStream();
 
@@ -34,24 +44,21 @@
     group.shutdownGracefully(0, 0, TimeUnit.MILLISECONDS).syncUninterruptibly();
   }
 
-  @Test
-  void othersAreLetInSoonAfterwards() throws Exception {
-    EventLoop loop = group.next();
+  private Channel listen() throws Exception {
     Clock clock = new Clock();
     Log log = new Log(new PrintStream(text, true), clock);
+    Violations violations = new Violations(log, Meter.NONE);
     ClientServer server =
         new ClientServer(
-            loop,
-            clock,
-            null,
-            null,
-            null,
-            new ByteBudget(1),
-            log,
-            new Violations(log, Meter.NONE),
-            100);
+            group.next(), clock, null, null, null, new ByteBudget(1), log, violations, 100);
     InetSocketAddress any = new InetSocketAddress(InetAddress.getLoopbackAddress(), 0);
-    Channel listener = server.listen(Transport.TCP, any, false).sync().channel();
+    return server.listen(Transport.TCP, any, false).sync().channel();
+  }
+
+  @Test
+  void othersAreLetInSoonAfterwards() throws Exception {
+    Channel listener = listen();
+    EventLoop loop = group.next();
     loop.submit(() -> listener.pipeline().fireExceptionCaught(new IOException("Too many files")))
         .sync();
     assertThat(listener.config().isAutoRead()).isFalse();
@@ -59,4 +66,41 @@
     assertThat(listener.config().isAutoRead()).isTrue();
     assertThat(text.toString()).contains("could not be let in");
   }
+
+  /** What has begun is answered; where nothing was asked an answer would be the next request's. */
+  @ParameterizedTest
+  @CsvSource({"POST /dispatch HTT, HTTP/1.1 500", "'', ''"})
+  void anErrorOfThisProgramIsAnsweredWhereSomethingWasAsked(String asked, String answered)
+      throws Exception {
+    Channel listener = listen();
+    CompletableFuture<Channel> accepted = new CompletableFuture<>();
+    ChannelInboundHandlerAdapter noting =
+        new ChannelInboundHandlerAdapter() {
+          @Override
+          public void channelRead(ChannelHandlerContext ctx, Object child) {
+            ctx.fireChannelRead(child);
+            accepted.complete((Channel) child);
+          }
+        };
+    // On the loop, so that it is in place before the client connects.
+    group.next().submit(() -> listener.pipeline().addFirst(noting)).sync();
+    InetSocketAddress address = (InetSocketAddress) listener.localAddress();
+    try (Socket client = new Socket(address.getAddress(), address.getPort())) {
+      client.setSoTimeout(PATIENCE_MS);
+      Channel child = accepted.get(PATIENCE_MS, TimeUnit.MILLISECONDS);
+      client.getOutputStream().write(asked.getBytes(StandardCharsets.US_ASCII));
+      group
+          .next()
+          .submit(
+              () -> {
+                Turns.readPending(child);
+                child.pipeline().fireExceptionCaught(new IllegalStateException("a bug"));
+              })
+          .sync();
+      String all = new String(client.getInputStream().readAllBytes(), StandardCharsets.US_ASCII);
+      assertThat(all).startsWith(answered);
+      assertThat(all.isEmpty()).isEqualTo(answered.isEmpty());
+      assertThat(text.toString()).contains("a bug").doesNotContain("violation");
+    }
+  }
 }
