Review case 3: requests wait unread and unanswered while others stop in their bodies

Cause: when the 6 MiB for bodies are used up the gateway stops reading further ones, and nothing ends a request whose reading is paused: it has no deadline before its last byte is read, and the check for stalled bodies excuses it. About a hundred clients that send most of a body and stay fill the 6 MiB.

Nothing outside review/ is changed, and nothing is fixed.

--- /dev/null
+++ b/review/3/run.sh
@@ -0,0 +1,2 @@
+#!/bin/sh
+exec sh "$(dirname "$0")/../run-case.sh" "$(dirname "$0")" Halves
