Count what clients make the gateway hold, incomplete heads included

Cause: only bodies were counted in total. The decoder keeps the parsed lines of an incomplete head as objects, 148 bytes for a line of 10, and unparsed bytes off the heap, for each connection up to 32 KiB of the network. A class histogram just before the end: 365,387 header entries, 54 of 56 MB. With lines of 200 and 31,900 bytes the 16 MB off the heap ran out instead.

Change: one ByteBudget counts heads, bodies at their size in memory, undecoded and pipelined input. Beyond the pool and 2 MiB the holder without progress for longest gives way (503); a rejected connection drops its decoder at once. Metrics and a log line tell who holds and who gave way.

--- a/src/main/java/hazelspoke/back/http/HostConnection.java
+++ b/src/main/java/hazelspoke/back/http/HostConnection.java
@@ -36,7 +36,7 @@
 import ternscale.api.Settings.Effect;
 
 /** A connection to a host. Carries one call at a time and maps the response to an outcome. */
-final class HostConnection extends ChannelInboundHandlerAdapter {
+final class HostConnection extends ChannelInboundHandlerAdapter implements ByteBudget.Holder {
   /**
    * How long the last byte of a request is withheld to detect a broken connection: about one round
    * trip. A host may have closed the connection after its previous response, or may reset it on the
@@ -314,7 +314,7 @@
       endCall(rejected ? Result.REJECTED : Result.ERROR);
     } else if (fits) {
       responseBody = new Body();
-      responseShare = client.responseBudget().share(this::resumeReading);
+      responseShare = client.responseBudget().share(this);
       if (length > Body.MAX_BUFFERED_RESPONSE_BYTES) {
         startStreaming(length);
       }
@@ -338,10 +338,9 @@
     if (remainder != null && bytes.isReadable()) {
       remainder.offer(ByteBufUtil.getBytes(bytes));
     } else if (call != null && bytes.isReadable()) {
-      int byteCount = bytes.readableBytes();
       responseBody.append(bytes);
-      if (!responseShare.add(byteCount)) {
-        channel.config().setAutoRead(false);
+      if (!countResponse()) {
+        return;
       }
       if (responseBody.bufferedLength() > Body.MAX_BUFFERED_RESPONSE_BYTES) {
         startStreaming(Body.UNKNOWN_LENGTH);
@@ -352,6 +351,18 @@
     }
   }
 
+  /** Counts the response received so far; returns false if it was rejected for want of room. */
+  private boolean countResponse() {
+    ByteBudget.Room room = responseShare.resize(responseBody.heldBytes());
+    if (room == ByteBudget.Room.AWAITED) {
+      channel.config().setAutoRead(false);
+    } else if (room == ByteBudget.Room.NONE) {
+      rejectResponse();
+      return false;
+    }
+    return true;
+  }
+
   /** Delivers a response whose body is incomplete; the remainder is streamed as it arrives. */
   private void startStreaming(long length) {
     remainder =
@@ -373,6 +384,7 @@
     call = null;
     responseBody = null;
     responseShare = null;
+    deliveredShare.commit();
     String report = probing ? body.text() : report();
     done.onAnswer(Headers.endToEnd(headers), report, body, deliveredShare);
   }
@@ -399,10 +411,16 @@
     }
   }
 
-  private void resumeReading() {
+  @Override
+  public void resume() {
     channel.config().setAutoRead(true);
   }
 
+  @Override
+  public void giveWay() {
+    rejectResponse();
+  }
+
   private void onResponseComplete() {
     readingResponse = false;
     reusable &= !decoder.hasUndecodedBytes();
--- a/src/main/java/hazelspoke/core/Body.java
+++ b/src/main/java/hazelspoke/core/Body.java
@@ -91,6 +91,11 @@
     return (long) fullChunks.size() * CHUNK_BYTES + lastChunkLength;
   }
 
+  /** The memory held by the buffered bytes, which grows in steps. */
+  public long heldBytes() {
+    return (long) fullChunks.size() * CHUNK_BYTES + lastChunk.length;
+  }
+
   public void append(ByteBuf bytes) {
     while (bytes.isReadable()) {
       if (lastChunkLength == CHUNK_BYTES) {
--- a/src/main/java/hazelspoke/core/ByteBudget.java
+++ b/src/main/java/hazelspoke/core/ByteBudget.java
@@ -1,21 +1,61 @@
 package hazelspoke.core;
 
-import java.util.ArrayDeque;
-import java.util.Deque;
+import java.util.Iterator;
+import java.util.LinkedHashSet;
+import java.util.Set;
 
 /**
- * Bounds the bytes buffered by many holders at once by pausing their readers. The common pool can
- * fill up with parts of many bodies, none of which could then be completed. One holder at a time
- * may therefore continue in a reserve that fits the largest body. It completes, releases its bytes,
- * and the next paused holder takes over the reserve. This prevents deadlock and bounds the total by
- * the pool plus the reserve.
+ * Bounds the memory that peers make this process hold, in total over all connections, and decides
+ * whose bytes give way when it is short.
+ *
+ * <p>Beyond the pool, holders are paused. The pool can fill up with parts of many messages, none of
+ * which could then be completed, so one holder at a time may continue in a reserve that fits the
+ * largest buffered message. Paused holders add what they have already read; beyond the overrun
+ * allowed for that, the holder that has made no progress for the longest time gives way, and
+ * holders of complete messages never do. Confined to one event loop.
  */
 public final class ByteBudget {
+  /** Bytes beyond the pool that paused holders may have read before others give way. */
+  static final long MAX_OVERRUN_BYTES = 2L << 20;
+
+  /** What a holder does at the request of the budget. */
+  public interface Holder {
+    /** Continues to read after a pause. */
+    void resume();
+
+    /** Answers its peer and releases its share before this returns. */
+    void giveWay();
+  }
+
+  /** Whether there is room for the bytes that a holder has added. */
+  public enum Room {
+    /** The holder may read on. */
+    AVAILABLE,
+    /** The holder must stop reading until it is resumed or gives way. */
+    AWAITED,
+    /** The holder must reject its message and release its share. */
+    NONE
+  }
+
   private final long poolBytes;
-  private final Deque<Share> pausedShares = new ArrayDeque<>();
-  private long usedBytes;
+
+  /**
+   * Holders of incomplete messages that may read on, the one without progress for longest first.
+   */
+  private final Set<Share> growing = new LinkedHashSet<>();
+
+  /** Paused holders, the longest paused first. */
+  private final Set<Share> waiting = new LinkedHashSet<>();
+
   private Share reserveHolder;
 
+  /** Orders the progress of all holders. */
+  private long progressCount;
+
+  private long usedBytes;
+  private long gaveWayCount;
+  private long pauseCount;
+
   public ByteBudget(long poolBytes) {
     this.poolBytes = poolBytes;
   }
@@ -25,30 +65,38 @@
     return usedBytes;
   }
 
+  /** The number of holders that gave way or found no room so far. */
+  public long gaveWayCount() {
+    return gaveWayCount;
+  }
+
+  /** The number of pauses of holders so far. */
+  public long pauseCount() {
+    return pauseCount;
+  }
+
   /** Whether less than half of the pool is used. */
   public boolean hasHeadroom() {
     return usedBytes < poolBytes / 2;
   }
 
-  /**
-   * Creates a share for one holder; {@code resume} is called after a pause as soon as bytes are
-   * available again.
-   */
-  public Share share(Runnable resume) {
-    return new Share(resume);
+  /** Creates an empty share for one holder. */
+  public Share share(Holder holder) {
+    return new Share(holder);
   }
 
-  private void resumePaused() {
-    while (!pausedShares.isEmpty()) {
+  private void resumeWaiting() {
+    while (!waiting.isEmpty()) {
       if (usedBytes > poolBytes && reserveHolder != null) {
         return;
       }
-      Share next = pausedShares.poll();
+      Share next = waiting.iterator().next();
+      waiting.remove(next);
       if (usedBytes > poolBytes) {
         enterReserve(next);
       }
-      next.paused = false;
-      next.resume.run();
+      growing.add(next);
+      next.holder.resume();
     }
   }
 
@@ -57,53 +105,145 @@
     usedBytes -= share.heldBytes;
   }
 
-  /** The bytes held for one body or answer. */
+  /** Makes others give way until the overrun is within its limit; returns whether it is. */
+  private boolean limitOverrun(Share requester) {
+    while (usedBytes > poolBytes + MAX_OVERRUN_BYTES) {
+      Share victim = leastRecentlyProgressed(requester);
+      if (victim == null) {
+        return false;
+      }
+      makeGiveWay(victim);
+    }
+    return true;
+  }
+
+  private Share leastRecentlyProgressed(Share requester) {
+    Share firstGrowing = firstExcept(growing, requester);
+    Share firstWaiting = firstExcept(waiting, requester);
+    if (firstGrowing == null || firstWaiting == null) {
+      return firstGrowing == null ? firstWaiting : firstGrowing;
+    }
+    return firstGrowing.lastProgress < firstWaiting.lastProgress ? firstGrowing : firstWaiting;
+  }
+
+  private static Share firstExcept(Set<Share> shares, Share excluded) {
+    Iterator<Share> inOrder = shares.iterator();
+    while (inOrder.hasNext()) {
+      Share share = inOrder.next();
+      if (share != excluded) {
+        return share;
+      }
+    }
+    return null;
+  }
+
+  private void makeGiveWay(Share victim) {
+    gaveWayCount++;
+    victim.holder.giveWay();
+    // Whatever the holder did, it may not be chosen again before it adds bytes.
+    growing.remove(victim);
+    waiting.remove(victim);
+  }
+
+  /** The memory held for one message or connection. */
   public final class Share {
-    private final Runnable resume;
+    private Holder holder;
     private long heldBytes;
-    private boolean paused;
+    private long lastProgress;
+    private boolean committed;
 
-    private Share(Runnable resume) {
-      this.resume = resume;
+    private Share(Holder holder) {
+      this.holder = holder;
     }
 
-    /**
-     * Adds bytes that were read. Returns false if the holder has to stop reading until it is
-     * resumed.
-     */
-    public boolean add(long bytes) {
-      heldBytes += bytes;
-      if (reserveHolder == this) {
-        return true;
+    /** The bytes held. */
+    public long heldBytes() {
+      return heldBytes;
+    }
+
+    /** Adds bytes that were read; see {@link #resize}. */
+    public Room add(long bytes) {
+      return resize(heldBytes + bytes);
+    }
+
+    /** Reports what the holder now holds. More than before counts as progress of its peer. */
+    public Room resize(long bytes) {
+      long addedBytes = bytes - heldBytes;
+      if (addedBytes == 0) {
+        return Room.AVAILABLE;
       }
-      usedBytes += bytes;
-      if (usedBytes <= poolBytes && !paused) {
-        return true;
+      heldBytes = bytes;
+      if (reserveHolder != this) {
+        usedBytes += addedBytes;
       }
-      if (reserveHolder == null && pausedShares.isEmpty()) {
+      if (bytes == 0) {
+        stopHolding();
+      }
+      if (addedBytes < 0) {
+        resumeWaiting();
+        return Room.AVAILABLE;
+      }
+      return findRoom();
+    }
+
+    private Room findRoom() {
+      boolean isPaused = waiting.contains(this);
+      if (!isPaused && !committed) {
+        progress();
+      }
+      if (reserveHolder == this || (usedBytes <= poolBytes && !isPaused)) {
+        return Room.AVAILABLE;
+      }
+      if (reserveHolder == null && waiting.isEmpty() && !committed) {
         enterReserve(this);
-        return true;
+        return Room.AVAILABLE;
+      }
+      if (!limitOverrun(this)) {
+        gaveWayCount++;
+        return Room.NONE;
       }
-      if (!paused) {
-        paused = true;
-        pausedShares.add(this);
+      if (!committed && waiting.add(this)) {
+        growing.remove(this);
+        pauseCount++;
       }
-      return false;
+      return Room.AWAITED;
     }
 
-    /** Releases all bytes of this share. */
+    /** Reports that its peer goes on, by sending or by reading. */
+    public void progress() {
+      lastProgress = ++progressCount;
+      growing.remove(this);
+      growing.add(this);
+    }
+
+    /** Reports that the message is complete: its holder never gives way. */
+    public void commit() {
+      committed = true;
+      growing.remove(this);
+      waiting.remove(this);
+    }
+
+    /** Hands the bytes to another holder, which gives way if its peer makes no progress. */
+    public void handOver(Holder next) {
+      holder = next;
+      committed = false;
+      waiting.remove(this);
+      progress();
+    }
+
+    /** Releases all bytes of this share, which can be used again. */
     public void release() {
+      committed = false;
+      resize(0);
+      stopHolding();
+    }
+
+    private void stopHolding() {
       if (reserveHolder == this) {
         reserveHolder = null;
-      } else {
-        usedBytes -= heldBytes;
-      }
-      heldBytes = 0;
-      if (paused) {
-        paused = false;
-        pausedShares.remove(this);
       }
-      resumePaused();
+      growing.remove(this);
+      waiting.remove(this);
     }
   }
 }
--- a/src/main/java/hazelspoke/core/Metadata.java
+++ b/src/main/java/hazelspoke/core/Metadata.java
@@ -11,10 +11,14 @@
   /** Empty metadata. */
   public static final Metadata NONE = new Metadata(0);
 
+  /** The memory for one header besides its characters: four objects and two references. */
+  public static final int ENTRY_BYTES = 160;
+
   private static final int INITIAL_CAPACITY = 12;
 
   private CharSequence[] pairs;
   private int length;
+  private long characters;
 
   /** Creates empty metadata with capacity for a usual message. */
   public Metadata() {
@@ -32,6 +36,12 @@
     }
     pairs[length++] = name;
     pairs[length++] = value;
+    characters += name.length() + value.length();
+  }
+
+  /** An estimate of the memory held, in bytes. */
+  public long heldBytes() {
+    return characters + (long) size() * ENTRY_BYTES;
   }
 
   /** The number of values. */
--- a/src/main/java/hazelspoke/core/Request.java
+++ b/src/main/java/hazelspoke/core/Request.java
@@ -29,4 +29,9 @@
     boolean resent,
     String target,
     Metadata metadata,
-    Body body) {}
+    Body body) {
+  /** The memory held by the head and the buffered part of the body, in bytes. */
+  public long heldBytes() {
+    return target.length() + metadata.heldBytes() + body.heldBytes();
+  }
+}
--- a/src/main/java/hazelspoke/front/http/ClientConnection.java
+++ b/src/main/java/hazelspoke/front/http/ClientConnection.java
@@ -11,12 +11,15 @@
 import hazelspoke.http.ChannelBodySource;
 import hazelspoke.http.HeadWriter;
 import hazelspoke.http.Headers;
+import hazelspoke.http.HttpLimits;
 import hazelspoke.net.SocketPolling;
+import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelPipeline;
 import io.netty.channel.socket.DuplexChannel;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
@@ -28,6 +31,7 @@
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.handler.codec.http.TooLongHttpHeaderException;
 import io.netty.util.ReferenceCountUtil;
 import io.netty.util.concurrent.Future;
 import java.io.IOException;
@@ -37,12 +41,11 @@
 import java.util.concurrent.TimeUnit;
 
 /** A client connection: reads requests one after the other and writes the responses. */
-final class ClientConnection extends ChannelInboundHandlerAdapter implements Client {
+final class ClientConnection extends ChannelInboundHandlerAdapter
+    implements Client, ByteBudget.Holder {
   /** Limit of input buffered while a response is being written; beyond it reading is paused. */
   private static final int MAX_PIPELINED_BYTES = 16_384;
 
-  private static final int ASSUMED_HEAD_BYTES = 1_024;
-
   /** How long input is read after the last response, so that no reset destroys that response. */
   private static final long LINGER_MS = 1_000;
 
@@ -80,8 +83,19 @@
 
   private final ClientServer server;
   private final Channel channel;
+
+  /** Null once further input is discarded. */
+  private StrictRequestDecoder decoder;
+
+  /** Counts what the decoder holds of an incomplete head, and input that awaits a response. */
+  private final ByteBudget.Share inputShare;
+
   private final Deque<HttpObject> pipelined = new ArrayDeque<>();
-  private int pipelinedBytes;
+  private long pipelinedBytes;
+
+  /** Whether the request after the current response is rejected, as there is no room for it. */
+  private boolean rejectsNext;
+
   private State state = State.FRESH;
   private HttpVersion version = HttpVersion.HTTP_1_1;
   private boolean keepAlive;
@@ -95,7 +109,7 @@
 
   private BodyWriter writer;
   private ByteBudget.Share responseShare;
-  private int lingerBytes;
+  private long lingerBytes;
 
   /** Whether the response was sent before the remainder of the accepted request was received. */
   private boolean awaitsRequestBody;
@@ -132,9 +146,16 @@
   ClientConnection(ClientServer server, Channel channel) {
     this.server = server;
     this.channel = channel;
+    decoder = new StrictRequestDecoder(HttpLimits.decoderConfig());
+    inputShare = server.share(this);
     enteredAtMs = server.nowMs();
   }
 
+  /** Adds this handler and those before it to the pipeline of its channel. */
+  void addTo(ChannelPipeline pipeline) {
+    pipeline.addLast(new FirstBytesHandler(this), decoder, this);
+  }
+
   State state() {
     return state;
   }
@@ -155,6 +176,48 @@
     }
   }
 
+  /** Counts the input that is held besides that of the current request. */
+  void countInput() {
+    long decoderBytes = decoder == null ? 0 : decoder.heldBytes();
+    switch (inputShare.resize(decoderBytes + pipelinedBytes)) {
+      case AVAILABLE -> {
+        // Reads on.
+      }
+      case AWAITED -> channel.config().setAutoRead(false);
+      case NONE -> giveWay();
+    }
+  }
+
+  /** Rejects the request that is being received, or input after the current one. */
+  @Override
+  public void giveWay() {
+    server.logGaveWay(describe());
+    switch (state) {
+      case HEAD, READING ->
+          reject(HttpResponseStatus.SERVICE_UNAVAILABLE, "no room for a slow request");
+      case IN_HAND -> rejectPipelined();
+      case ANSWERING -> {
+        rejectsNext = true;
+        dropInput();
+      }
+      case CLOSING -> dropInput();
+      case FRESH, IDLE -> closeFromThisSide();
+    }
+  }
+
+  /** Stops decoding and releases what the decoder holds; all further input is discarded. */
+  private void dropInput() {
+    dropPipelined();
+    if (decoder != null) {
+      StrictRequestDecoder removed = decoder;
+      decoder = null;
+      if (channel.pipeline().context(removed) != null) {
+        channel.pipeline().remove(removed);
+      }
+    }
+    inputShare.release();
+  }
+
   private void close() {
     // At once, as the channel reports its close in a later event-loop iteration.
     server.connectionClosed(this);
@@ -236,14 +299,17 @@
 
   @Override
   public void channelRead(ChannelHandlerContext ctx, Object message) {
-    if (state == State.CLOSING || (state == State.ANSWERING && !keepAlive)) {
+    if (state == State.CLOSING
+        || (state == State.ANSWERING && (!keepAlive || rejectsNext))
+        || message instanceof ByteBuf) {
       discard(message);
     } else if (state == State.IN_HAND) {
       ReferenceCountUtil.release(message);
       rejectPipelined();
     } else if (state == State.ANSWERING) {
-      pipelined.add((HttpObject) message);
-      pipelinedBytes += size(message);
+      HttpObject held = HeldMessage.of((HttpObject) message);
+      pipelined.add(held);
+      pipelinedBytes += HeldMessage.heldBytes(held);
       if (pipelinedBytes > MAX_PIPELINED_BYTES) {
         channel.config().setAutoRead(false);
       }
@@ -253,7 +319,7 @@
   }
 
   private void discard(Object message) {
-    lingerBytes += size(message);
+    lingerBytes += HeldMessage.heldBytes(message);
     ReferenceCountUtil.release(message);
     if (lingerBytes > (awaitsRequestBody ? Body.MAX_BYTES : MAX_LINGER_BYTES)) {
       channel.config().setAutoRead(false);
@@ -274,14 +340,12 @@
     sendOwnResponse(HttpResponseStatus.BAD_REQUEST, "one request at a time", 0);
   }
 
-  private static int size(Object message) {
-    return message instanceof HttpContent content
-        ? content.content().readableBytes()
-        : ASSUMED_HEAD_BYTES;
-  }
-
   private void onMessage(HttpObject message) {
     try {
+      if (message.decoderResult().cause() instanceof TooLongHttpHeaderException) {
+        throw new BadRequestException(
+            HttpResponseStatus.REQUEST_HEADER_FIELDS_TOO_LARGE, "the head is too large");
+      }
       if (message.decoderResult().isFailure()) {
         throw new BadRequestException(HttpResponseStatus.BAD_REQUEST, "this is no HTTP/1.1");
       }
@@ -362,6 +426,7 @@
     }
     exchange = server.exchange(request, this);
     declaredBytes = HttpUtil.getContentLength(request, Body.UNKNOWN_LENGTH);
+    countRequest();
     if (HttpUtil.is100ContinueExpected(request)) {
       channel.writeAndFlush(
           HeadWriter.response(channel.alloc(), HttpResponseStatus.CONTINUE).finish(0));
@@ -382,7 +447,7 @@
     if (!isHealthCheck && byteCount > 0) {
       Body body = exchange.request().body();
       body.append(content.content());
-      boolean withinBudget = exchange.share().add(byteCount);
+      countRequest();
       boolean large =
           body.bufferedLength() > Body.MAX_BUFFERED_REQUEST_BYTES
               || (body.bufferedLength() > Body.STREAMING_THRESHOLD_BYTES
@@ -391,9 +456,6 @@
         startStreaming(body);
         return;
       }
-      if (!withinBudget) {
-        channel.config().setAutoRead(false);
-      }
     }
     if (content instanceof LastHttpContent) {
       channel.config().setAutoRead(true);
@@ -406,12 +468,26 @@
             0);
       } else {
         checkNotOpen();
+        exchange.share().commit();
         enter(State.IN_HAND);
         server.requestAccepted(exchange);
       }
     }
   }
 
+  /** Counts the head and the body received so far, and pauses if there is no room for more. */
+  private void countRequest() throws BadRequestException {
+    switch (exchange.share().resize(exchange.request().heldBytes())) {
+      case AVAILABLE -> {
+        // Reads on.
+      }
+      case AWAITED -> channel.config().setAutoRead(false);
+      case NONE ->
+          throw new BadRequestException(
+              HttpResponseStatus.SERVICE_UNAVAILABLE, "no room for the request");
+    }
+  }
+
   /** Hands over a request whose body is incomplete; the remainder is streamed as it arrives. */
   private void startStreaming(Body body) throws BadRequestException {
     checkNotOpen();
@@ -422,7 +498,9 @@
               @Override
               public void onAttached() {
                 body.releaseBuffered();
-                handedOver.share().release();
+                if (handedOver.request() != null) {
+                  handedOver.share().resize(handedOver.request().heldBytes());
+                }
               }
 
               @Override
@@ -437,11 +515,13 @@
 
   private void stream(HttpContent content) {
     BodyStream target = remainder;
+    exchange.share().progress();
     target.offer(ByteBufUtil.getBytes(content.content()));
     if (content instanceof LastHttpContent) {
       remainder = null;
       channel.config().setAutoRead(true);
       Exchange complete = exchange;
+      complete.share().commit();
       enter(State.IN_HAND);
       // Before the host can have it all, as the time of the request runs from here.
       server.requestComplete(complete);
@@ -456,7 +536,9 @@
     }
   }
 
-  void resumeReading() {
+  /** Continues to read after a pause for want of room. */
+  @Override
+  public void resume() {
     channel.config().setAutoRead(true);
   }
 
@@ -514,6 +596,9 @@
     exchange = null;
     remainder = null;
     enter(State.ANSWERING);
+    if (!keepAlive) {
+      dropInput();
+    }
     boolean chunked =
         body.totalLength() == Body.UNKNOWN_LENGTH && !version.equals(HttpVersion.HTTP_1_0);
     writer = new BodyWriter(channel, body, chunked, this::onResponseWritten, this::close);
@@ -568,11 +653,16 @@
       return;
     }
     enter(State.IDLE);
+    if (rejectsNext) {
+      reject(HttpResponseStatus.SERVICE_UNAVAILABLE, "no room for a further request");
+      return;
+    }
     while (!pipelined.isEmpty() && (state == State.IDLE || state == State.READING)) {
       HttpObject message = pipelined.poll();
-      pipelinedBytes -= size(message);
+      pipelinedBytes -= HeldMessage.heldBytes(message);
       onMessage(message);
     }
+    countInput();
     if (state == State.IN_HAND && !pipelined.isEmpty()) {
       rejectPipelined();
     } else if (state == State.IDLE && server.isShuttingDown()) {
@@ -589,7 +679,7 @@
   void closeGracefully() {
     keepAlive = false;
     enter(State.CLOSING);
-    dropPipelined();
+    dropInput();
     channel.config().setAutoRead(true);
     ((DuplexChannel) channel).shutdownOutput();
     linger();
@@ -658,6 +748,7 @@
     releaseResponse();
     reportResponseWritten();
     dropPipelined();
+    inputShare.release();
     if (state == State.IN_HAND && exchange != null) {
       server.clientDisconnected(exchange);
       exchange = null;
--- a/src/main/java/hazelspoke/front/http/ClientServer.java
+++ b/src/main/java/hazelspoke/front/http/ClientServer.java
@@ -10,7 +10,6 @@
 import hazelspoke.core.RequestHandler;
 import hazelspoke.core.Violations;
 import hazelspoke.front.http.ClientConnection.State;
-import hazelspoke.http.HttpLimits;
 import hazelspoke.net.Buffers;
 import hazelspoke.net.Listener;
 import hazelspoke.net.SocketPolling;
@@ -88,7 +87,7 @@
   private final Names names;
   private ClassRegistry classes;
   private final RequestHandler requestHandler;
-  private final ByteBudget bodyBudget;
+  private final ByteBudget requestBudget;
   private final Log log;
   private final Violations violations;
   private final int maxConnections;
@@ -115,7 +114,7 @@
       Names names,
       ClassRegistry classes,
       RequestHandler requestHandler,
-      ByteBudget bodyBudget,
+      ByteBudget requestBudget,
       Log log,
       Violations violations,
       int maxConnections) {
@@ -124,7 +123,7 @@
     this.names = names;
     this.classes = classes;
     this.requestHandler = requestHandler;
-    this.bodyBudget = bodyBudget;
+    this.requestBudget = requestBudget;
     this.log = log;
     this.violations = violations;
     this.maxConnections = Math.max(1, maxConnections - MAX_ACCEPTS_PER_ITERATION);
@@ -172,11 +171,7 @@
 
   private void accept(Channel ch) {
     ClientConnection connection = new ClientConnection(this, ch);
-    ch.pipeline()
-        .addLast(
-            new FirstBytesHandler(connection),
-            new StrictRequestDecoder(HttpLimits.decoderConfig()),
-            connection);
+    connection.addTo(ch.pipeline());
     byState.get(connection.state()).add(connection);
     openCount++;
     if (openCount >= maxConnections && !evictionScheduled) {
@@ -286,6 +281,13 @@
     }
   }
 
+  /** Logs that a connection gave way, as there was no room for what it held. */
+  void logGaveWay(String request) {
+    log.line(
+        "no room: request %s gave way, %d bytes of requests are held"
+            .formatted(request, requestBudget.usedBytes()));
+  }
+
   /** Counts and logs a violation of the gateway's guarantees. */
   void reportViolation(Violations.Kind kind, String request) {
     violations.count(kind, request);
@@ -335,12 +337,17 @@
 
   Exchange exchange(HttpRequest request, ClientConnection client) throws BadRequestException {
     Request head = RequestHead.read(request, names, classes, clock.nowMs());
-    return new Exchange(head, client, bodyBudget.share(client::resumeReading));
+    return new Exchange(head, client, share(client));
+  }
+
+  /** Creates a share that counts what a connection makes this process hold. */
+  ByteBudget.Share share(ClientConnection client) {
+    return requestBudget.share(client);
   }
 
   /** Whether bodies up to the larger limit may be buffered until they are complete. */
   boolean hasRoomForBodies() {
-    return bodyBudget.hasHeadroom();
+    return requestBudget.hasHeadroom();
   }
 
   /** Whether another request with the same id is open; it is not affected. */
--- a/src/main/java/hazelspoke/front/http/FirstBytesHandler.java
+++ b/src/main/java/hazelspoke/front/http/FirstBytesHandler.java
@@ -3,7 +3,7 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 
-/** Notifies a connection of received bytes before they are decoded, as a head may arrive slowly. */
+/** Notifies a connection of received bytes before and after they are decoded. */
 final class FirstBytesHandler extends ChannelInboundHandlerAdapter {
   private final ClientConnection connection;
 
@@ -15,5 +15,6 @@
   public void channelRead(ChannelHandlerContext ctx, Object message) {
     connection.bytesReceived();
     ctx.fireChannelRead(message);
+    connection.countInput();
   }
 }
--- a/src/main/java/hazelspoke/net/Buffers.java
+++ b/src/main/java/hazelspoke/net/Buffers.java
@@ -1,6 +1,5 @@
 package hazelspoke.net;
 
-import io.netty.buffer.ByteBufAllocator;
 import io.netty.buffer.PooledByteBufAllocator;
 import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.RecvByteBufAllocator;
@@ -29,7 +28,7 @@
   private static final int SMALL_CACHE_SIZE = 16;
 
   /** One arena, because there is one thread. The caches are small because they retain memory. */
-  public static final ByteBufAllocator ALLOCATOR =
+  public static final PooledByteBufAllocator ALLOCATOR =
       new PooledByteBufAllocator(true, 0, 1, PAGE_BYTES, CHUNK_ORDER, SMALL_CACHE_SIZE, 0, false);
 
   /** The bytes that may be pending for write at a connection before its source is paused. */
--- a/src/main/java/hazelspoke/node/Gateway.java
+++ b/src/main/java/hazelspoke/node/Gateway.java
@@ -47,10 +47,10 @@
   /** Descriptors for all else: the JVM's files, discovery, the listener, and a reserve. */
   private static final int OTHER_DESCRIPTORS = 56;
 
-  /** Budget for buffered request bodies; one body may always be completed beyond it. */
+  /** Budget for what clients send: heads, bodies, and input that is not decoded yet. */
   private static final long MAX_BUFFERED_REQUEST_BYTES = 6L << 20;
 
-  /** Budget for responses that are buffered until they are complete or written. */
+  /** Budget for what hosts send: responses until they are written, and undecoded input. */
   private static final long MAX_BUFFERED_RESPONSE_BYTES = 6L << 20;
 
   /** How long to keep accepting after SIGTERM; new connections arrive for up to 400 ms. */
@@ -69,8 +69,8 @@
    */
   private static final long FIRST_LIST_TIMEOUT_MS = 400;
 
-  /** Update interval of the metrics for hosts. */
-  private static final long HOST_METRICS_INTERVAL_MS = 100;
+  /** Update interval of the metrics that are not counted as events occur. */
+  private static final long METRICS_INTERVAL_MS = 100;
 
   static {
     // SLF4J comes with the dependencies of the fleet's record. Netty would pick it and load it.
@@ -92,6 +92,9 @@
   private DiscoveryClient discovery;
   private Dispatcher dispatcher;
 
+  private final ByteBudget requestBudget = new ByteBudget(MAX_BUFFERED_REQUEST_BYTES);
+  private final ByteBudget responseBudget = new ByteBudget(MAX_BUFFERED_RESPONSE_BYTES);
+
   /** The classes that clients may request, under all settings applied so far. */
   private volatile ClassRegistry classes;
 
@@ -315,12 +318,7 @@
     int clientSockets = available - hostSockets;
     HostClient hosts =
         new HostClient(
-            loop,
-            transport,
-            clock,
-            config.settings().limits(),
-            hostSockets,
-            new ByteBudget(MAX_BUFFERED_RESPONSE_BYTES));
+            loop, transport, clock, config.settings().limits(), hostSockets, responseBudget);
     dispatcher =
         new Dispatcher(
             loop,
@@ -361,9 +359,12 @@
     }
     if (management != null) {
       loop.scheduleAtFixedRate(
-          () -> management.setHostCounts(hosts.size(), balancer.usableHosts(clock.nowMs())),
+          () -> {
+            management.setHostCounts(hosts.size(), balancer.usableHosts(clock.nowMs()));
+            management.setHeldMemory(requestBudget, responseBudget);
+          },
           0,
-          HOST_METRICS_INTERVAL_MS,
+          METRICS_INTERVAL_MS,
           TimeUnit.MILLISECONDS);
     }
     clients =
@@ -373,7 +374,7 @@
             config.names(),
             classes,
             dispatcher,
-            new ByteBudget(MAX_BUFFERED_REQUEST_BYTES),
+            requestBudget,
             log,
             dispatcher.violations(),
             clientSockets);
--- a/src/main/java/hazelspoke/node/Management.java
+++ b/src/main/java/hazelspoke/node/Management.java
@@ -1,5 +1,6 @@
 package hazelspoke.node;
 
+import hazelspoke.core.ByteBudget;
 import hazelspoke.core.Meter;
 import hazelspoke.operations.GatewayMetrics;
 import hazelspoke.operations.ManagedGateway;
@@ -39,6 +40,11 @@
     metrics.setHostCounts(known, Math.max(0, known - usable));
   }
 
+  /** Updates the memory that clients and hosts make this process hold. */
+  void setHeldMemory(ByteBudget requests, ByteBudget responses) {
+    metrics.setHeldMemory(requests, responses);
+  }
+
   /** Registers a gauge; {@code value} may be called from any thread. */
   void gauge(String name, LongSupplier value) {
     metrics.gauge(name, value);
--- a/src/main/java/hazelspoke/operations/GatewayMetrics.java
+++ b/src/main/java/hazelspoke/operations/GatewayMetrics.java
@@ -4,9 +4,11 @@
 import com.codahale.metrics.Gauge;
 import com.codahale.metrics.MetricRegistry;
 import hazelspoke.core.Answer;
+import hazelspoke.core.ByteBudget;
 import hazelspoke.core.LateAnswer;
 import hazelspoke.core.Meter;
 import hazelspoke.core.Violations;
+import hazelspoke.net.Buffers;
 import java.util.ArrayList;
 import java.util.EnumMap;
 import java.util.List;
@@ -44,11 +46,34 @@
   private final Map<Violations.Kind, Counter> violations = new EnumMap<>(Violations.Kind.class);
   private volatile int knownHosts;
   private volatile int skippedHosts;
+  private final HeldMemory requests = new HeldMemory("requests");
+  private final HeldMemory responses = new HeldMemory("responses");
+
+  /** The memory that one kind of peer makes this process hold, as last reported. */
+  private final class HeldMemory {
+    private volatile long heldBytes;
+    private volatile long gaveWay;
+    private volatile long pauses;
+
+    HeldMemory(String kind) {
+      registry.register("held_bytes." + kind, (Gauge<Long>) () -> heldBytes);
+      registry.register("gave_way." + kind, (Gauge<Long>) () -> gaveWay);
+      registry.register("pauses." + kind, (Gauge<Long>) () -> pauses);
+    }
+
+    void set(ByteBudget budget) {
+      heldBytes = budget.usedBytes();
+      gaveWay = budget.gaveWayCount();
+      pauses = budget.pauseCount();
+    }
+  }
 
   /** Creates the metrics, all at 0, for classes with these names, by index. */
   public GatewayMetrics(List<String> classNames) {
     registry.register("known_hosts", (Gauge<Integer>) () -> knownHosts);
     registry.register("skipped_hosts", (Gauge<Integer>) () -> skippedHosts);
+    registry.register(
+        "off_heap_bytes", (Gauge<Long>) () -> Buffers.ALLOCATOR.metric().usedDirectMemory());
     for (LateAnswer reason : LateAnswer.values()) {
       late.put(reason, registry.counter("late." + reason.name().toLowerCase(Locale.ROOT)));
     }
@@ -114,6 +139,12 @@
     skippedHosts = skipped;
   }
 
+  /** Updates the memory that peers make this process hold; called on the event loop. */
+  public void setHeldMemory(ByteBudget requestBudget, ByteBudget responseBudget) {
+    requests.set(requestBudget);
+    responses.set(responseBudget);
+  }
+
   /**
    * Registers a gauge, which is read on each call of {@link #text}; {@code value} must not block.
    */
--- a/src/test/java/hazelspoke/core/DispatcherFixture.java
+++ b/src/test/java/hazelspoke/core/DispatcherFixture.java
@@ -86,7 +86,7 @@
       if (result == Result.OK) {
         write();
         Body body = new Body();
-        ByteBudget.Share share = responseBudget.share(() -> {});
+        ByteBudget.Share share = responseBudget.share(NO_HOLDER);
         share.add(7);
         call.onAnswer(new Metadata(), "", body, share);
       } else {
@@ -95,6 +95,20 @@
     }
   }
 
+  /** A holder that is never paused. */
+  private static final ByteBudget.Holder NO_HOLDER =
+      new ByteBudget.Holder() {
+        @Override
+        public void resume() {
+          throw new AssertionError("was not paused");
+        }
+
+        @Override
+        public void giveWay() {
+          throw new AssertionError("there is room");
+        }
+      };
+
   final MockTicker ticker = Ticker.newMockTicker();
   final EmbeddedChannel channel = EmbeddedChannel.builder().ticker(ticker).build();
   final ByteArrayOutputStream log = new ByteArrayOutputStream();
@@ -149,7 +163,7 @@
   /** Hands over a complete request with a body. */
   RecordingClient sendRequest() {
     RecordingClient client = new RecordingClient();
-    ByteBudget.Share share = requestBudget.share(() -> {});
+    ByteBudget.Share share = requestBudget.share(NO_HOLDER);
     share.add(100);
     Request request =
         new Request(
