--- a/src/main/java/hazelspoke/back/http/HostClient.java
+++ b/src/main/java/hazelspoke/back/http/HostClient.java
@@ -43,6 +43,13 @@
    */
   public static final double REUSE_DELAY_MS = 20;
 
+  /**
+   * Hosts write a response without pauses, so one that pauses for this long, in milliseconds, does
+   * not match its own head. It is treated as malformed; waiting longer would only delay the next
+   * attempt of the request.
+   */
+  public static final long RESPONSE_STALL_MS = 100;
+
   private final EventLoop loop;
   private final Transport transport;
   private final Clock clock;
--- a/src/main/java/hazelspoke/back/http/HostConnection.java
+++ b/src/main/java/hazelspoke/back/http/HostConnection.java
@@ -45,13 +45,6 @@
    */
   private static final long LAST_BYTE_WAIT_MS = 2;
 
-  /**
-   * Hosts write a response without pauses, so one that pauses for this long does not match its own
-   * head. It is treated as malformed; waiting longer would only delay the next attempt of the
-   * request.
-   */
-  private static final long RESPONSE_STALL_MS = 100;
-
   /**
    * Stall limit of a streamed response: it may be slow, and its client already has a part of it.
    */
@@ -393,7 +386,7 @@
 
   private void scheduleStallCheck() {
     cancelStallCheck();
-    long limitMs = remainder == null ? RESPONSE_STALL_MS : STREAM_STALL_MS;
+    long limitMs = remainder == null ? HostClient.RESPONSE_STALL_MS : STREAM_STALL_MS;
     stallCheck = channel.eventLoop().schedule(this::checkStall, limitMs, TimeUnit.MILLISECONDS);
   }
 
--- a/src/main/java/hazelspoke/core/ByteBudget.java
+++ b/src/main/java/hazelspoke/core/ByteBudget.java
@@ -21,9 +21,6 @@
   /** Bytes beyond the pool that paused holders may have read before others give way. */
   static final long MAX_OVERRUN_BYTES = 2L << 20;
 
-  /** The time without progress after which a holder gives way to paused ones, in milliseconds. */
-  static final double STALLED_MS = 25;
-
   /** The longest time that a message waits for room, over all pauses, in milliseconds. */
   public static final double MAX_WAIT_MS = 200;
 
@@ -56,6 +53,7 @@
   }
 
   private final long poolBytes;
+  private final double stalledMs;
   private final Clock clock;
   private final Scheduler scheduler;
   private boolean checkScheduled;
@@ -74,9 +72,16 @@
   private long gaveWayCount;
   private long pauseCount;
 
-  /** Creates a budget of this size, without the reserve and the overrun. */
-  public ByteBudget(long poolBytes, Clock clock, Scheduler scheduler) {
+  /**
+   * Creates a budget.
+   *
+   * @param poolBytes its size without the reserve and the overrun
+   * @param stalledMs the time without progress after which a holder gives way to paused ones, in
+   *     milliseconds
+   */
+  public ByteBudget(long poolBytes, double stalledMs, Clock clock, Scheduler scheduler) {
     this.poolBytes = poolBytes;
+    this.stalledMs = stalledMs;
     this.clock = clock;
     this.scheduler = scheduler;
   }
@@ -135,7 +140,7 @@
     double nowMs = clock.nowMs();
     while (!waiting.isEmpty()) {
       Share longestStalled = firstExcept(growing, null);
-      if (longestStalled == null || nowMs - longestStalled.lastProgressMs < STALLED_MS) {
+      if (longestStalled == null || nowMs - longestStalled.lastProgressMs < stalledMs) {
         break;
       }
       makeGiveWay(longestStalled);
@@ -228,7 +233,8 @@
     public Room resize(long bytes) {
       long addedBytes = bytes - heldBytes;
       if (addedBytes == 0) {
-        return Room.AVAILABLE;
+        progress();
+        return waiting.contains(this) ? Room.AWAITED : Room.AVAILABLE;
       }
       heldBytes = bytes;
       if (reserveHolder != this) {
@@ -238,6 +244,8 @@
         stopHolding();
       }
       if (addedBytes < 0) {
+        waiting.remove(this);
+        progress();
         resumeWaiting();
         return Room.AVAILABLE;
       }
@@ -250,9 +258,7 @@
 
     private Room findRoom() {
       boolean isPaused = waiting.contains(this);
-      if (!isPaused && !committed) {
-        progress();
-      }
+      progress();
       if (reserveHolder == this || (usedBytes <= poolBytes && !isPaused)) {
         return Room.AVAILABLE;
       }
@@ -276,8 +282,10 @@
     /** Reports that its peer goes on, by sending or by reading. */
     public void progress() {
       lastProgressMs = clock.nowMs();
-      growing.remove(this);
-      growing.add(this);
+      if (heldBytes > 0 && !committed && !waiting.contains(this)) {
+        growing.remove(this);
+        growing.add(this);
+      }
     }
 
     /** Reports that the message is complete: its holder never gives way. */
--- a/src/main/java/hazelspoke/front/http/ClientConnection.java
+++ b/src/main/java/hazelspoke/front/http/ClientConnection.java
@@ -533,18 +533,18 @@
               }
             });
     body.setRemainder(remainder, declaredBytes);
+    // From now on a host and this side determine when it is read on.
+    handedOver.share().commit();
     server.requestAccepted(handedOver);
   }
 
   private void stream(HttpContent content) {
     BodyStream target = remainder;
-    exchange.share().progress();
     target.offer(ByteBufUtil.getBytes(content.content()));
     if (content instanceof LastHttpContent) {
       remainder = null;
       channel.config().setAutoRead(true);
       Exchange complete = exchange;
-      complete.share().commit();
       enter(State.IN_HAND);
       reportPause();
       // Before the host can have it all, as the time of the request runs from here.
--- a/src/main/java/hazelspoke/http/DecoderFootprint.java
+++ b/src/main/java/hazelspoke/http/DecoderFootprint.java
@@ -2,29 +2,22 @@
 
 import hazelspoke.core.Metadata;
 import io.netty.buffer.ByteBuf;
-import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.TooLongHttpHeaderException;
 import java.util.List;
 
 /**
- * Counts the memory that a decoder holds besides the messages that it has emitted: the parsed lines
- * of an incomplete head, which are objects on the heap, unparsed bytes, which are off the heap, and
- * the decoder's own line buffer. Limits the number of lines, each of which costs several objects
- * and more time than its bytes.
+ * Counts the memory that a decoder holds of an incomplete head: parsed lines, which are objects on
+ * the heap, and unparsed bytes, which are off the heap. Limits the number of lines, each of which
+ * costs several objects and more time than its bytes. The decoder's own buffer for one line is not
+ * counted.
  */
 public final class DecoderFootprint {
   /** The most header lines of a message; common servers allow 100. */
   static final int MAX_HEADER_LINES = 200;
 
-  /** Line buffers up to this size are part of the memory of every connection. */
-  private static final int USUAL_LINE_BYTES = 2_048;
-
   private long parsedBytes;
   private int parsedLines;
 
-  /** The most bytes parsed in one step; the decoder's line buffer grows to the longest line. */
-  private long lineBufferBytes;
-
   /**
    * Called for each header line.
    *
@@ -50,10 +43,6 @@
       parsedBytes = 0;
       parsedLines = 0;
     }
-    if (consumedBytes > USUAL_LINE_BYTES
-        && (emitted.isEmpty() || emitted.get(0) instanceof HttpMessage)) {
-      lineBufferBytes = Math.max(lineBufferBytes, consumedBytes);
-    }
   }
 
   /**
@@ -62,9 +51,6 @@
    * @param unparsed the buffer of bytes that were not parsed yet
    */
   public long heldBytes(ByteBuf unparsed) {
-    return unparsed.capacity()
-        + parsedBytes
-        + (long) parsedLines * Metadata.ENTRY_BYTES
-        + lineBufferBytes;
+    return unparsed.capacity() + parsedBytes + (long) parsedLines * Metadata.ENTRY_BYTES;
   }
 }
--- a/src/main/java/hazelspoke/node/Gateway.java
+++ b/src/main/java/hazelspoke/node/Gateway.java
@@ -53,6 +53,9 @@
   /** Budget for what hosts send: responses until they are written, and undecoded input. */
   private static final long MAX_BUFFERED_RESPONSE_BYTES = 6L << 20;
 
+  /** Time without new bytes after which a request gives way to others that wait for room. */
+  private static final double REQUEST_STALL_MS = 25;
+
   /** How long to keep accepting after SIGTERM; new connections arrive for up to 400 ms. */
   private static final long ACCEPT_AFTER_SIGNAL_MS = 500;
 
@@ -93,9 +96,13 @@
   private Dispatcher dispatcher;
 
   private final ByteBudget requestBudget =
-      new ByteBudget(MAX_BUFFERED_REQUEST_BYTES, clock, this::scheduleAfterPoll);
+      new ByteBudget(MAX_BUFFERED_REQUEST_BYTES, REQUEST_STALL_MS, clock, this::scheduleAfterPoll);
   private final ByteBudget responseBudget =
-      new ByteBudget(MAX_BUFFERED_RESPONSE_BYTES, clock, this::scheduleAfterPoll);
+      new ByteBudget(
+          MAX_BUFFERED_RESPONSE_BYTES,
+          HostClient.RESPONSE_STALL_MS,
+          clock,
+          this::scheduleAfterPoll);
 
   /** The classes that clients may request, under all settings applied so far. */
   private volatile ClassRegistry classes;
--- a/src/test/java/hazelspoke/core/ByteBudgetTest.java
+++ b/src/test/java/hazelspoke/core/ByteBudgetTest.java
@@ -16,11 +16,13 @@
 /** Who is paused, who goes on and who gives way when room is short. */
 class ByteBudgetTest {
   private static final long POOL_BYTES = 1_000;
+  private static final double STALLED_MS = 25;
 
   private final MockTicker ticker = Ticker.newMockTicker();
   private final Deque<Runnable> checks = new ArrayDeque<>();
   private final ByteBudget budget =
-      new ByteBudget(POOL_BYTES, new Clock(ticker), (task, delayMs) -> checks.add(task));
+      new ByteBudget(
+          POOL_BYTES, STALLED_MS, new Clock(ticker), (task, delayMs) -> checks.add(task));
   private final List<String> events = new ArrayList<>();
 
   /** A holder that releases its share when it gives way. */
@@ -69,10 +71,10 @@
     List<Message> holders = fill();
     Message paused = new Message("paused");
     assertThat(paused.share.add(400)).isEqualTo(Room.AWAITED);
-    advance(ByteBudget.STALLED_MS / 2);
+    advance(STALLED_MS / 2);
     assertThat(events).isEmpty();
     holders.get(0).share.progress();
-    advance(ByteBudget.STALLED_MS / 2);
+    advance(STALLED_MS / 2);
     assertThat(events).containsExactly("b gave way", "paused resumed");
     assertThat(paused.share.add(100)).isEqualTo(Room.AVAILABLE);
   }
@@ -116,6 +118,29 @@
     assertThat(budget.usedBytes()).isLessThanOrEqualTo(POOL_BYTES + ByteBudget.MAX_OVERRUN_BYTES);
   }
 
+  /** Guards against uploads that are streamed and were rejected as if they still waited. */
+  @Test
+  void holderThatShrinksWaitsNoLonger() {
+    fill().forEach(holder -> holder.share.commit());
+    Message streamed = new Message("streamed");
+    assertThat(streamed.share.add(400)).isEqualTo(Room.AWAITED);
+    assertThat(streamed.share.resize(100)).isEqualTo(Room.AVAILABLE);
+    advance(ByteBudget.MAX_WAIT_MS);
+    assertThat(events).isEmpty();
+  }
+
+  /** Guards against bodies that arrive slowly and fit into memory that is already counted. */
+  @Test
+  void bytesThatNeedNoFurtherMemoryAreProgress() {
+    Message slow = fill().get(0);
+    Message paused = new Message("paused");
+    paused.share.add(400);
+    advance(STALLED_MS - 1);
+    assertThat(slow.share.resize(400)).isEqualTo(Room.AVAILABLE);
+    advance(1);
+    assertThat(events).startsWith("b gave way").doesNotContain("a gave way");
+  }
+
   /** Whatever holders do, the total is bounded, and nothing is counted once all have ended. */
   @Test
   void totalIsBoundedAndEndsAtZero() {
--- a/src/test/java/hazelspoke/core/DispatcherFixture.java
+++ b/src/test/java/hazelspoke/core/DispatcherFixture.java
@@ -117,8 +117,8 @@
   final List<Double> remainingTimesMs = new ArrayList<>();
   final Dispatcher dispatcher;
   final Clock clock = new Clock(ticker);
-  final ByteBudget requestBudget = new ByteBudget(1 << 20, clock, (task, delayMs) -> {});
-  final ByteBudget responseBudget = new ByteBudget(1 << 20, clock, (task, delayMs) -> {});
+  final ByteBudget requestBudget = new ByteBudget(1 << 20, 25, clock, (task, delayMs) -> {});
+  final ByteBudget responseBudget = new ByteBudget(1 << 20, 25, clock, (task, delayMs) -> {});
   private int requestCount;
 
   DispatcherFixture(int openCap, Function<Actions, Balancer> balancerFactory) {
--- a/src/test/java/hazelspoke/front/http/AcceptFailuresTest.java
+++ b/src/test/java/hazelspoke/front/http/AcceptFailuresTest.java
@@ -58,7 +58,7 @@
             null,
             null,
             null,
-            new ByteBudget(1, clock, (task, delayMs) -> {}),
+            new ByteBudget(1, 25, clock, (task, delayMs) -> {}),
             log,
             violations,
             100);
--- a/src/test/java/hazelspoke/node/DuplicateResponseTest.java
+++ b/src/test/java/hazelspoke/node/DuplicateResponseTest.java
@@ -54,7 +54,7 @@
             new Settings.Limits(
                 1, false, false, false, false, false, 0, Rig.PATIENCE_MS, IDLE_MS, 1),
             10,
-            new ByteBudget(1_000_000, new Clock(ticker), (task, delayMs) -> {}));
+            new ByteBudget(1_000_000, 25, new Clock(ticker), (task, delayMs) -> {}));
     String[] address = host.address().split(":");
     loop.submit(
             () ->
--- a/src/test/java/hazelspoke/node/HostChurnTest.java
+++ b/src/test/java/hazelspoke/node/HostChurnTest.java
@@ -31,7 +31,7 @@
               new Clock(),
               new Settings.Limits(1, false, false, false, false, false, 0, 100, 1_000, 1),
               10,
-              new ByteBudget(1_000, new Clock(), (task, delayMs) -> {}));
+              new ByteBudget(1_000, 25, new Clock(), (task, delayMs) -> {}));
       InetSocketAddress address = new InetSocketAddress("127.0.0.1", 1);
       assertThat(hosts.setAddress(host("a", 1), address)).isNull();
       for (int i = 2; i < 1_000; i++) {
