Keep the decoder's verdict with input that is copied while a response is written

An invalid chunk then looked like a valid end of the body. The result is set on the copy.

Test: HeldMessageTest failed before, passes; the tests of large bodies, invalid requests, clients that disconnect and the budget pass (70). The whole suite was not run on this commit.

--- a/src/main/java/hazelspoke/front/http/HeldMessage.java
+++ b/src/main/java/hazelspoke/front/http/HeldMessage.java
@@ -25,6 +25,7 @@
       return message;
     }
     HttpContent copy = content.replace(Unpooled.copiedBuffer(content.content()));
+    copy.setDecoderResult(content.decoderResult());
     content.release();
     return copy;
   }
