--- a/src/main/java/hazelspoke/node/Gateway.java
+++ b/src/main/java/hazelspoke/node/Gateway.java
@@ -50,7 +50,7 @@
   /** Budget for what clients send: heads, bodies, and input that is not decoded yet. */
   private static final long MAX_BUFFERED_REQUEST_BYTES = 6L << 20;
 
-  /** Budget for what hosts send: responses until they are written, and undecoded input. */
+  /** Budget for what hosts send: bodies of responses until they are written. */
   private static final long MAX_BUFFERED_RESPONSE_BYTES = 6L << 20;
 
   /** Time without new bytes after which a request gives way to others that wait for room. */
