Count the event-loop iterations that read a body as time of its request

The gateway answered 160 to 190 ms before what it took for the deadline; by one clock in the test and the gateway the last byte of a request of 60,000 bytes had waited for 73 to 260 ms, of which the lag of the loop counts about 30. An iteration reads 16 KiB of a connection, so such a body takes five, which 200 clients make long.

Change: front.http.InputWait dates the last byte from the first read that may have left bytes unread (it filled its buffer) or from the pause; it replaces the sums of pauses. A stream counts its last pause only, as it is longer than what the kernel holds.

AcceptFailuresTest has a request handler in place of null, which the estimate asks; its checks are the same.

Tried and taken back: counting the wait to be accepted since the accept queue was last empty; under a flood it never is, and a client that has just connected would be refused for its age.

--- a/src/main/java/hazelspoke/core/Dispatcher.java
+++ b/src/main/java/hazelspoke/core/Dispatcher.java
@@ -234,6 +234,11 @@
     onMembers(kind, new HostList.Update(false, 0, List.of()));
   }
 
+  @Override
+  public double estimatedWaitMs() {
+    return lag.estimatedWaitMs();
+  }
+
   @Override
   public boolean isOpen(String txn) {
     return openTxns.contains(txn);
--- a/src/main/java/hazelspoke/core/Exchange.java
+++ b/src/main/java/hazelspoke/core/Exchange.java
@@ -51,8 +51,8 @@
   /** When the answer was decided. */
   double answeredAtMs;
 
-  /** How long the last byte may have waited unread because reading was paused. */
-  private double pausedMs;
+  /** How long the last byte may have waited unread in earlier event-loop iterations. */
+  private double earlierWaitMs;
 
   /** Whether the request was failed by the overdue timer. */
   boolean endedAsOverdue;
@@ -94,11 +94,12 @@
   }
 
   /**
-   * Reports that reading of the request was paused up to this long ago, so that its last byte may
-   * have waited since then. Called before it is handed over or completed.
+   * Reports that the last byte of the request may have waited unread for this long, as reading was
+   * paused or took several iterations of the event loop. Called before it is handed over or
+   * completed.
    */
-  public void setPaused(double milliseconds) {
-    pausedMs = milliseconds;
+  public void setUnread(double milliseconds) {
+    earlierWaitMs = milliseconds;
   }
 
   /** The share that counts the body. */
@@ -127,7 +128,7 @@
 
   /** How long the last byte may have waited to be read. */
   private double unreadMs(double waitedMs) {
-    return Math.max(waitedMs, pausedMs);
+    return Math.max(waitedMs, earlierWaitMs);
   }
 
   private void setDeadline(double requestDeadlineMs, double shutdownDeadlineMs) {
--- a/src/main/java/hazelspoke/core/RequestHandler.java
+++ b/src/main/java/hazelspoke/core/RequestHandler.java
@@ -26,6 +26,12 @@
    */
   void onAnswerWritten(Exchange exchange);
 
+  /**
+   * Estimates how long data that is being read has waited for the event loop, in milliseconds. A
+   * request that takes several reads may have waited for longer; see {@link Exchange#setUnread}.
+   */
+  double estimatedWaitMs();
+
   /** Whether a request with this client-assigned id is pending. */
   boolean isOpen(String txn);
 }
--- a/src/main/java/hazelspoke/front/http/ClientConnection.java
+++ b/src/main/java/hazelspoke/front/http/ClientConnection.java
@@ -119,11 +119,8 @@
 
   private double enteredAtMs;
 
-  /** Since when input may wait unread, as reading was paused; NaN if it was read since. */
-  private double pausedSinceMs = Double.NaN;
-
-  /** The sum of the earlier pauses for want of room during the current request. */
-  private double pausedMs;
+  /** Estimates since when the last bytes of a request waited to be read. */
+  private final InputWait inputWait = new InputWait();
 
   /** Time of the next check whether the client still sends after the last response. */
   private double lingerUntilMs;
@@ -174,9 +171,16 @@
     return enteredAtMs;
   }
 
-  /** Called when bytes arrive, before they are decoded. */
-  void bytesReceived() {
+  /**
+   * Called when bytes arrive, before they are decoded.
+   *
+   * @param filledBuffer whether the read filled its buffer, so that it may have left bytes unread
+   */
+  void bytesReceived(boolean filledBuffer) {
     lastBytesAtMs = server.nowMs();
+    // A stream is longer than what the kernel holds: only its pauses are known to delay its end.
+    boolean mayHaveLeftBytes = filledBuffer && remainder == null;
+    inputWait.onRead(lastBytesAtMs - server.estimatedWaitMs(), mayHaveLeftBytes);
     if (state == State.FRESH || state == State.IDLE) {
       enter(State.HEAD);
       if (server.isRejectingRequests()) {
@@ -482,7 +486,7 @@
       } else {
         checkNotOpen();
         exchange.share().commit();
-        reportPause();
+        reportWait();
         enter(State.IN_HAND);
         server.requestAccepted(exchange);
       }
@@ -546,7 +550,7 @@
       channel.config().setAutoRead(true);
       Exchange complete = exchange;
       enter(State.IN_HAND);
-      reportPause();
+      reportWait();
       // Before the host can have it all, as the time of the request runs from here.
       server.requestComplete(complete);
       target.end();
@@ -561,36 +565,18 @@
   }
 
   private void pauseReading() {
-    if (Double.isNaN(pausedSinceMs)) {
-      pausedSinceMs = server.nowMs();
-    }
+    inputWait.onPause(server.nowMs());
     channel.config().setAutoRead(false);
   }
 
-  /** Notes that all bytes that arrived during a pause were read. */
-  @Override
-  public void channelReadComplete(ChannelHandlerContext ctx) {
-    if (channel.config().isAutoRead()) {
-      pausedSinceMs = Double.NaN;
-    }
-    ctx.fireChannelReadComplete();
-  }
-
-  /**
-   * Counts the pauses as time of the request: its last byte may have arrived by so much earlier.
-   */
-  private void reportPause() {
-    double currentMs = Double.isNaN(pausedSinceMs) ? 0 : server.nowMs() - pausedSinceMs;
-    exchange.setPaused(pausedMs + currentMs);
+  /** Counts the wait of the last bytes of the request as its time. */
+  private void reportWait() {
+    exchange.setUnread(inputWait.waitedMs(server.nowMs()));
   }
 
   /** Continues to read after a pause for want of room. */
   @Override
   public void resume() {
-    if (remainder == null && !Double.isNaN(pausedSinceMs)) {
-      pausedMs += server.nowMs() - pausedSinceMs;
-      pausedSinceMs = Double.NaN;
-    }
     channel.config().setAutoRead(true);
   }
 
@@ -705,8 +691,7 @@
       return;
     }
     enter(State.IDLE);
-    pausedMs = 0;
-    pausedSinceMs = Double.NaN;
+    inputWait.reset();
     if (rejectsNext) {
       reject(HttpResponseStatus.SERVICE_UNAVAILABLE, "no room for a further request");
       return;
--- a/src/main/java/hazelspoke/front/http/ClientServer.java
+++ b/src/main/java/hazelspoke/front/http/ClientServer.java
@@ -355,6 +355,11 @@
     return requestHandler.isOpen(exchange.request().txn());
   }
 
+  /** How long bytes that are being read have waited, in milliseconds. */
+  double estimatedWaitMs() {
+    return requestHandler.estimatedWaitMs();
+  }
+
   public void requestAccepted(Exchange exchange) {
     requestHandler.onRequest(exchange);
   }
--- a/src/main/java/hazelspoke/front/http/FirstBytesHandler.java
+++ b/src/main/java/hazelspoke/front/http/FirstBytesHandler.java
@@ -1,5 +1,6 @@
 package hazelspoke.front.http;
 
+import io.netty.buffer.ByteBuf;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 
@@ -13,7 +14,7 @@
 
   @Override
   public void channelRead(ChannelHandlerContext ctx, Object message) {
-    connection.bytesReceived();
+    connection.bytesReceived(message instanceof ByteBuf bytes && !bytes.isWritable());
     ctx.fireChannelRead(message);
     connection.countInput();
   }
--- a/src/test/java/hazelspoke/front/http/AcceptFailuresTest.java
+++ b/src/test/java/hazelspoke/front/http/AcceptFailuresTest.java
@@ -4,8 +4,10 @@
 
 import hazelspoke.core.ByteBudget;
 import hazelspoke.core.Clock;
+import hazelspoke.core.Exchange;
 import hazelspoke.core.Log;
 import hazelspoke.core.Meter;
+import hazelspoke.core.RequestHandler;
 import hazelspoke.core.Violations;
 import hazelspoke.net.EventLoops;
 import hazelspoke.net.SocketPolling;
@@ -57,7 +59,7 @@
             clock,
             null,
             null,
-            null,
+            new NoRequests(),
             new ByteBudget(1, 25, clock, (task, delayMs) -> {}),
             log,
             violations,
@@ -115,4 +117,37 @@
       assertThat(logOutput.toString()).contains("a bug").doesNotContain("violation");
     }
   }
+
+  /** Fails if a request is handed over: no test here completes one. */
+  private static final class NoRequests implements RequestHandler {
+    @Override
+    public void onRequest(Exchange exchange) {
+      throw new AssertionError("no request is complete");
+    }
+
+    @Override
+    public void onClientDisconnected(Exchange exchange) {
+      throw new AssertionError("no request is complete");
+    }
+
+    @Override
+    public void onRequestComplete(Exchange exchange) {
+      throw new AssertionError("no request is complete");
+    }
+
+    @Override
+    public void onAnswerWritten(Exchange exchange) {
+      throw new AssertionError("no request is complete");
+    }
+
+    @Override
+    public double estimatedWaitMs() {
+      return 0;
+    }
+
+    @Override
+    public boolean isOpen(String txn) {
+      return false;
+    }
+  }
 }
