Bound what discovery and agents can make the gateway keep

Change: core.HostLimit keeps 10,000 hosts at most, over all updates of the list, and leaves out further ones with a log line; a list of more is invalid, and so are names of over 253 characters and texts of over 16,384. Field names are not kept, and fields that are not read are dropped at once.

Measured: 300,000 field names took 7.3 MB and 4.9 s in a trial with the parser alone, and nothing and 0.2 s without the table.

Tests: HostListReaderTest failed 3 of 3 before (5.1 MB of 1 MiB for the field names), DiscoveryUpdatesTest.keepsNoMoreHostsThanTheLimit failed before (31 s without the limit reached), HostLimitTest is new. They pass, with DiscoveryTimeoutsTest and ArchitectureTest; the whole suite was not run yet.

--- a/src/main/java/hazelspoke/core/Dispatcher.java
+++ b/src/main/java/hazelspoke/core/Dispatcher.java
@@ -42,6 +42,7 @@
   private final Timers timers;
   private final CoreServices services;
   private final Violations violations;
+  private final HostLimit hostLimit = new HostLimit();
   private final Map<String, Exchange> exchanges = new HashMap<>();
 
   /** The client-assigned ids of the requests that are pending. */
@@ -165,7 +166,13 @@
   public void onMembers(MembersUpdate.Kind kind, HostList.Update update) {
     List<HostEntry> entries = new ArrayList<>();
     List<HostEntry> displacedHosts = new ArrayList<>();
-    for (HostList.Listed host : update.hosts()) {
+    List<HostList.Listed> admittedHosts = hostLimit.admit(kind, update.hosts());
+    if (admittedHosts.size() < update.hosts().size()) {
+      log.line(
+          "discovery lists more than %d hosts, left out: %d"
+              .formatted(HostLimit.MAX_HOSTS, update.hosts().size() - admittedHosts.size()));
+    }
+    for (HostList.Listed host : admittedHosts) {
       HostEntry entry = host.entry();
       entries.add(entry);
       if (entry.availability() == Availability.GONE) {
@@ -173,6 +180,7 @@
       } else if (host.address() != null) {
         HostEntry displaced = hosts.setAddress(entry, host.address());
         if (displaced != null) {
+          hostLimit.remove(displaced.host());
           displacedHosts.add(displaced);
         }
       }
--- a/src/main/java/hazelspoke/discovery/HostListJson.java
+++ b/src/main/java/hazelspoke/discovery/HostListJson.java
@@ -6,12 +6,20 @@
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Set;
 import ternscale.adapter.JsonTree;
 import ternscale.api.HostEntry;
 import ternscale.api.HostEntry.Availability;
 
 /** Reads the JSON form of host lists, which discovery and the configuration share. */
 public final class HostListJson {
+  /** The fields of an entry that are read; all others are ignored. */
+  static final Set<String> FIELDS =
+      Set.of("name", "zone", "status", "address", "weight", "type", "group", "since_ms");
+
+  /** The longest name of a host in DNS. */
+  private static final int MAX_NAME_CHARS = 253;
+
   private HostListJson() {}
 
   public static HostList.Update read(JsonTree list, Names names) {
@@ -36,6 +44,9 @@
     if (name == null) {
       throw fields.get("name").error("is missing");
     }
+    if (name.length() > MAX_NAME_CHARS) {
+      throw fields.get("name").error("is longer than " + MAX_NAME_CHARS + " characters");
+    }
     int zone = names.zones().indexOf(fields.get("zone").text(""));
     if (zone < 0) {
       return null;
--- a/src/main/java/hazelspoke/discovery/HostListReader.java
+++ b/src/main/java/hazelspoke/discovery/HostListReader.java
@@ -1,9 +1,12 @@
 package hazelspoke.discovery;
 
 import com.fasterxml.jackson.core.JsonFactory;
+import com.fasterxml.jackson.core.JsonFactoryBuilder;
 import com.fasterxml.jackson.core.JsonParser;
 import com.fasterxml.jackson.core.JsonToken;
+import com.fasterxml.jackson.core.StreamReadConstraints;
 import com.fasterxml.jackson.core.async.ByteArrayFeeder;
+import hazelspoke.core.HostLimit;
 import hazelspoke.core.HostList;
 import hazelspoke.core.Names;
 import java.io.IOException;
@@ -24,6 +27,31 @@
   private static final int LIST_DEPTH = 2;
   private static final int ENTRY_DEPTH = 3;
 
+  /** Limit of one JSON string, including those of fields that are ignored. */
+  private static final int MAX_STRING_CHARS = 16_384;
+
+  private static final int MAX_FIELD_NAME_CHARS = 1_024;
+
+  private static final int MAX_NUMBER_CHARS = 64;
+
+  private static final int MAX_DEPTH = 32;
+
+  /**
+   * Keeps no table of field names, which would grow with each new name for as long as a watch
+   * lasts.
+   */
+  private static final JsonFactory JSON =
+      new JsonFactoryBuilder()
+          .disable(JsonFactory.Feature.CANONICALIZE_FIELD_NAMES)
+          .streamReadConstraints(
+              StreamReadConstraints.builder()
+                  .maxStringLength(MAX_STRING_CHARS)
+                  .maxNameLength(MAX_FIELD_NAME_CHARS)
+                  .maxNumberLength(MAX_NUMBER_CHARS)
+                  .maxNestingDepth(MAX_DEPTH)
+                  .build())
+          .build();
+
   private final Names names;
   private final JsonParser parser;
   private final List<HostList.Listed> lineHosts = new ArrayList<>();
@@ -37,14 +65,14 @@
 
   public HostListReader(Names names) throws IOException {
     this.names = names;
-    parser = new JsonFactory().createNonBlockingByteArrayParser();
+    parser = JSON.createNonBlockingByteArrayParser();
   }
 
   /**
    * Parses bytes and returns what they completed: objects, and last the complete entries of an
    * object that is still open, as changes without a version ({@code version} of -1).
    *
-   * @throws IOException if the bytes are not valid JSON
+   * @throws IOException if the bytes are not valid JSON, or beyond a limit
    * @throws ternscale.adapter.WireException if an entry is invalid
    */
   public List<HostList.Update> feed(byte[] bytes) throws IOException {
@@ -84,7 +112,7 @@
         if (depth == ENTRY_DEPTH && inList) {
           HostList.Listed host = HostListJson.entry(JsonTree.of("endpoints", entryFields), names);
           if (host != null) {
-            lineHosts.add(host);
+            addHost(host);
           }
         } else if (depth == LIST_DEPTH) {
           inList = false;
@@ -99,6 +127,13 @@
     }
   }
 
+  private void addHost(HostList.Listed host) throws IOException {
+    if (lineHosts.size() == HostLimit.MAX_HOSTS) {
+      throw new IOException("a list has more than " + HostLimit.MAX_HOSTS + " hosts");
+    }
+    lineHosts.add(host);
+  }
+
   private void startLine() {
     lineHosts.clear();
     returnedCount = 0;
@@ -110,6 +145,9 @@
 
   private void onValue(JsonToken token) throws IOException {
     if (depth == ENTRY_DEPTH && inList) {
+      if (!HostListJson.FIELDS.contains(field)) {
+        return;
+      }
       Object value =
           switch (token) {
             case VALUE_STRING -> parser.getText();
--- a/src/test/java/hazelspoke/node/DiscoveryUpdatesTest.java
+++ b/src/test/java/hazelspoke/node/DiscoveryUpdatesTest.java
@@ -2,6 +2,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import hazelspoke.core.HostLimit;
 import java.net.Socket;
 import java.util.concurrent.CountDownLatch;
 import org.junit.jupiter.api.Test;
@@ -11,6 +12,8 @@
  * shutdown, after a reload, and after discovery was unresponsive.
  */
 class DiscoveryUpdatesTest {
+  private static final int HOSTS_PER_LINE = 1_000;
+
   private static final String READY = "Ready";
   private static final String TERMINATING = "Terminating";
 
@@ -187,6 +190,31 @@
     }
   }
 
+  /** Guards against discovery that lists ever more hosts: all of them were kept. */
+  @Test
+  void keepsNoMoreHostsThanTheLimit() throws Exception {
+    try (FakeServer first = respondingHost("first");
+        FakeDiscovery discovery =
+            new FakeDiscovery(Rig.list(1, true, Rig.entry(first.address(), READY)));
+        Rig rig = new Rig(160, discovery.server)) {
+      Rig.await("the list", () -> rig.metric("known_hosts") == 1);
+      for (int i = 0; i * HOSTS_PER_LINE <= HostLimit.MAX_HOSTS; i++) {
+        discovery.push(Rig.list(i + 2, false, drainingHosts(i)));
+      }
+      Rig.await("the limit", () -> rig.log.toString().contains("more than " + HostLimit.MAX_HOSTS));
+      Rig.await("all that is kept", () -> rig.metric("known_hosts") == HostLimit.MAX_HOSTS);
+      assertThat(rig.request(Rig.look(Rig.id(), ""))).endsWith("first");
+    }
+  }
+
+  private static String[] drainingHosts(int subnet) {
+    String[] entries = new String[HOSTS_PER_LINE];
+    for (int i = 0; i < HOSTS_PER_LINE; i++) {
+      entries[i] = Rig.entry("127.1." + subnet + ".1:" + (i + 1), TERMINATING);
+    }
+    return entries;
+  }
+
   private static void sendChunk(java.io.OutputStream out, String text) throws java.io.IOException {
     FakeServer.respond(out, Integer.toHexString(text.length()) + "\r\n" + text + "\r\n");
   }
