End uploads whose host does not read, and those that lost their host midway

Ending the attempt alone was tried first and did not help: the balancer then waits for another host until the deadline, which is infinite. So did a request whose host closed in the middle, when no other host was usable; that second form is read, not run.

Change: HostConnection checks a streamed request each second and ends it after five checks without progress while bytes await the host; Dispatcher fails a request without an attempt in flight whose body was sent in part (502).

Tried and mended: failing at once took the place of the 408 of a client that stops (neverRunsIncompleteLargeRequest failed); it now waits for the next iteration, and for all attempts, so that a second copy that cannot be sent does not end the first.

Tests: LargeBodiesTest.failsLargeRequestThatItsHostDoesNotRead failed before (30 s without an answer) and passes; LargeBodiesTest, DispatcherTest and ShutdownDeadlineTest pass; BulkTest and LeakTest passed before the last edit. The whole suite runs next.

--- a/src/main/java/hazelspoke/back/http/HostConnection.java
+++ b/src/main/java/hazelspoke/back/http/HostConnection.java
@@ -50,6 +50,11 @@
    */
   private static final long STREAM_STALL_MS = 5_000;
 
+  private static final long UPLOAD_CHECK_INTERVAL_MS = 1_000;
+
+  /** Consecutive checks without progress after which a host does not read a streamed request. */
+  private static final int MAX_UPLOAD_CHECKS_WITHOUT_PROGRESS = 5;
+
   private final HostClient client;
   private final HostClient.Pool pool;
   private final LastByteGate lastByteGate = new LastByteGate();
@@ -67,6 +72,11 @@
   private BodyWriter writer;
   private boolean sent;
 
+  /** The pieces of a streamed request that were written at the last check. */
+  private long uploadedPieces;
+
+  private int uploadChecksWithoutProgress;
+
   /** Whether this side closed it. Bytes that precede a close by the host are still processed. */
   private boolean closed;
 
@@ -144,6 +154,38 @@
             withholdLastByte ? this::onAllButLastByteWritten : this::onLastByteWritten,
             this::terminate);
     writer.start(head(request, next.remainingMs()));
+    if (body.remainder() != null) {
+      uploadedPieces = 0;
+      uploadChecksWithoutProgress = 0;
+      scheduleUploadCheck(next);
+    }
+  }
+
+  private void scheduleUploadCheck(HostCall expected) {
+    EventLoop loop = channel.eventLoop();
+    loop.schedule(
+        // After a stall of the loop, the host may have read in the meantime.
+        () -> SocketPolling.afterPoll(loop, () -> checkUpload(expected)),
+        UPLOAD_CHECK_INTERVAL_MS,
+        TimeUnit.MILLISECONDS);
+  }
+
+  /**
+   * Ends a streamed request that its host does not read. It has no deadline before it is complete,
+   * and its client is not at fault.
+   */
+  private void checkUpload(HostCall expected) {
+    if (call != expected || writer == null) {
+      return;
+    }
+    boolean progressed = writer.piecesWritten() > uploadedPieces || !writer.isAwaitingPeer();
+    uploadedPieces = writer.piecesWritten();
+    uploadChecksWithoutProgress = progressed ? 0 : uploadChecksWithoutProgress + 1;
+    if (uploadChecksWithoutProgress >= MAX_UPLOAD_CHECKS_WITHOUT_PROGRESS) {
+      terminate();
+    } else {
+      scheduleUploadCheck(expected);
+    }
   }
 
   private HeadWriter head(Request request, double remainingMs) {
--- a/src/main/java/hazelspoke/core/Dispatcher.java
+++ b/src/main/java/hazelspoke/core/Dispatcher.java
@@ -313,6 +313,27 @@
                     exchange.ended,
                     report,
                     gatewayDelayMs)));
+    if (cannotBeSentAgain(exchange)) {
+      // In a later iteration, as the client may be the cause, which is then reported next.
+      loop.execute(() -> failIfUnsendable(exchange));
+    }
+  }
+
+  /** Whether no attempt is in flight and the streamed body was sent in part. */
+  private static boolean cannotBeSentAgain(Exchange exchange) {
+    return !exchange.ended
+        && exchange.pendingOutcomes == 0
+        && !exchange.request().body().isRepeatable();
+  }
+
+  /**
+   * Fails a request that cannot be sent again. It may have no deadline yet, so the balancer could
+   * wait for another host without an end.
+   */
+  private void failIfUnsendable(Exchange exchange) {
+    if (cannotBeSentAgain(exchange)) {
+      failRequest(exchange);
+    }
   }
 
   /**
--- a/src/test/java/hazelspoke/node/LargeBodiesTest.java
+++ b/src/test/java/hazelspoke/node/LargeBodiesTest.java
@@ -7,6 +7,8 @@
 import java.io.IOException;
 import java.io.InputStream;
 import java.io.OutputStream;
+import java.net.InetAddress;
+import java.net.ServerSocket;
 import java.net.Socket;
 import java.net.SocketException;
 import java.nio.charset.StandardCharsets;
@@ -24,6 +26,13 @@
 /** Bodies too large to be buffered, in both directions: complete, slow and truncated. */
 class LargeBodiesTest {
   private static final byte[] LARGE = new byte[3_000_000];
+
+  /** More than the sockets on the way hold. */
+  private static final int UNREAD_BYTES = 30_000_000;
+
+  /** The host is given 5 s. */
+  private static final int UNREAD_UPLOAD_LIMIT_MS = 10_000;
+
   private static final String CHUNKED = "Transfer-Encoding: chunked\r\n";
 
   static {
@@ -251,6 +260,36 @@
     }
   }
 
+  /**
+   * Guards against uploads to a host that does not read: such a request has no deadline yet and its
+   * client is excused, so it had no answer for as long as both stayed.
+   */
+  @Test
+  void failsLargeRequestThatItsHostDoesNotRead() throws Exception {
+    try (ServerSocket silent = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
+        FakeServer listing =
+            Rig.discovery(
+                Rig.list(2, true, Rig.entry("127.0.0.1:" + silent.getLocalPort(), "Ready")));
+        Rig gateway = new Rig(160, listing);
+        Socket client = gateway.connect()) {
+      client.setSoTimeout(UNREAD_UPLOAD_LIMIT_MS);
+      Rig.send(client, Rig.dispatch(Rig.id(), "Content-Length: " + UNREAD_BYTES + "\r\n"));
+      Thread sender = new Thread(() -> sendUntilClosed(client));
+      sender.start();
+      assertThat(Rig.receive(client)).matches("(?s)HTTP/1.1 50[234].*");
+      client.close();
+      sender.join();
+    }
+  }
+
+  private static void sendUntilClosed(Socket client) {
+    try {
+      client.getOutputStream().write(new byte[UNREAD_BYTES]);
+    } catch (IOException e) {
+      // The gateway has answered and closed.
+    }
+  }
+
   @Test
   void acceptsSlowHeadWithinItsTimeout() throws Exception {
     String request = Rig.dispatch(Rig.id(), "Content-Length: 8\r\n") + "12345678";
