Give hosts 30 s to read on in a large request, as slow ones were cut after 6

Cause, found by reading the change again: progress of an upload is seen only when the kernel takes more, for which a third of its send buffer (up to 4 MB) has to become free. In a trial a host that read 128 KB/s without a pause lost a request of 12 MB after 6.2 s with 502.

Change: thirty checks without progress instead of five, one a second: a host that reads more than about 45 KB/s is not cut, by reckoning. The limit still ends uploads to hosts that read nothing.

The whole suite was not run on this commit.

--- a/src/main/java/hazelspoke/back/http/HostConnection.java
+++ b/src/main/java/hazelspoke/back/http/HostConnection.java
@@ -52,8 +52,11 @@
 
   private static final long UPLOAD_CHECK_INTERVAL_MS = 1_000;
 
-  /** Consecutive checks without progress after which a host does not read a streamed request. */
-  private static final int MAX_UPLOAD_CHECKS_WITHOUT_PROGRESS = 5;
+  /**
+   * Consecutive checks without progress after which a host does not read a streamed request. A slow
+   * host takes long to free the third of a large kernel buffer after which more can be written.
+   */
+  private static final int MAX_UPLOAD_CHECKS_WITHOUT_PROGRESS = 30;
 
   private final HostClient client;
   private final HostClient.Pool pool;
