--- a/review/standin-2/Lab.java
+++ b/review/standin-2/Lab.java
@@ -241,6 +241,9 @@
     private long index;
     private volatile boolean silent;
 
+    /** If above 0, the first message of a call comes in two pieces, so many milliseconds apart. */
+    volatile long pieceGapMs;
+
     Discovery(long index, Iterable<Entry> start) throws IOException {
       this.index = index;
       firstIndex = index;
@@ -268,6 +271,15 @@
       notifyAll();
     }
 
+    /** The host is no longer named in whole lists. */
+    synchronized void forget(Entry entry) {
+      index++;
+      entries.remove(entry.name());
+      changes.put(index, entry.with("Gone"));
+      note("discovery: index " + index + ", " + entry.name() + " is gone");
+      notifyAll();
+    }
+
     /** While silent it accepts connections, keeps the open ones, and says nothing. */
     synchronized void setSilent(boolean on) {
       silent = on;
@@ -291,13 +303,22 @@
             "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nTransfer-Encoding: chunked\r\n\r\n"
                 .getBytes(StandardCharsets.US_ASCII));
         long told;
+        String first;
         synchronized (this) {
           told = index;
-          boolean whole = !isWatch || from < firstIndex || from > index;
-          chunk(out, whole
+          boolean whole = !isWatch || from < firstIndex || from > index || pieceGapMs > 0;
+          first = whole
               ? list(index, true, entries.values())
-              : list(index, false, List.copyOf(changes.tailMap(from, false).values())));
+              : list(index, false, List.copyOf(changes.tailMap(from, false).values()));
+        }
+        if (pieceGapMs > 0) {
+          // A chunk with the first two entries, and one with the others.
+          int end = first.indexOf("},{", first.indexOf("},{") + 1) + 1;
+          write(out, first.substring(0, end));
+          Thread.sleep(pieceGapMs);
+          first = first.substring(end);
         }
+        chunk(out, first);
         if (!isWatch) {
           out.write("0\r\n\r\n".getBytes(StandardCharsets.US_ASCII));
           return;
@@ -329,7 +350,11 @@
     }
 
     private void chunk(OutputStream out, String line) throws IOException {
-      byte[] bytes = (line + "\n").getBytes(StandardCharsets.UTF_8);
+      write(out, line + "\n");
+    }
+
+    private void write(OutputStream out, String text) throws IOException {
+      byte[] bytes = text.getBytes(StandardCharsets.UTF_8);
       ByteArrayOutputStream chunk = new ByteArrayOutputStream();
       chunk.writeBytes((Integer.toHexString(bytes.length) + "\r\n").getBytes(StandardCharsets.US_ASCII));
       chunk.writeBytes(bytes);
