--- a/review/standin-2/Lab.java
+++ b/review/standin-2/Lab.java
@@ -19,6 +19,7 @@
 import java.util.Locale;
 import java.util.Map;
 import java.util.TreeMap;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
 import java.util.regex.Matcher;
@@ -201,6 +202,11 @@
       throw new IOException(name + " is not ready after 30 s");
     }
 
+    void hangUp() throws Exception {
+      note("platform: SIGHUP to " + name);
+      new ProcessBuilder("/bin/sh", "-c", "kill -HUP " + process.pid()).start().waitFor();
+    }
+
     void kill() throws Exception {
       note("platform: SIGKILL to " + name);
       process.destroyForcibly().waitFor();
@@ -234,7 +240,8 @@
 
   /** Discovery, or an agent that has what discovery has told it. */
   final class Discovery implements Closeable {
-    private final ServerSocket listener;
+    private volatile ServerSocket listener;
+    private final Map<ServerSocket, List<Socket>> sockets = new ConcurrentHashMap<>();
     private final Map<String, Entry> entries = new LinkedHashMap<>();
     private final TreeMap<Long, Entry> changes = new TreeMap<>();
     private final long firstIndex;
@@ -244,16 +251,27 @@
     /** If above 0, the first message of a call comes in two pieces, so many milliseconds apart. */
     volatile long pieceGapMs;
 
+    /** How long a call waits before it is answered. */
+    volatile long waitMs;
+
     Discovery(long index, Iterable<Entry> start) throws IOException {
       this.index = index;
       firstIndex = index;
       start.forEach(entry -> entries.put(entry.name(), entry));
-      listener = new ServerSocket(0, 64, loopback());
+      listen();
       servers.add(this);
+    }
+
+    private void listen() throws IOException {
+      ServerSocket opened = new ServerSocket(0, 64, loopback());
+      List<Socket> accepted = new CopyOnWriteArrayList<>();
+      sockets.put(opened, accepted);
+      listener = opened;
       daemon(
           () -> {
             while (true) {
-              Socket socket = listener.accept();
+              Socket socket = opened.accept();
+              accepted.add(socket);
               daemon(() -> serve(socket));
             }
           });
@@ -263,6 +281,24 @@
       return "127.0.0.1:" + listener.getLocalPort();
     }
 
+    /**
+     * The service moves to another address: the old one takes no new connection and closes the open
+     * ones after 1.5 s.
+     */
+    void move() throws IOException {
+      ServerSocket old = listener;
+      listen();
+      old.close();
+      daemon(
+          () -> {
+            Thread.sleep(1_500);
+            for (Socket socket : sockets.get(old)) {
+              socket.close();
+            }
+          });
+      note("discovery: is now at " + address());
+    }
+
     synchronized void change(Entry entry) {
       index++;
       entries.put(entry.name(), entry);
@@ -298,6 +334,10 @@
         if (m.find()) {
           from = Long.parseLong(m.group(1));
         }
+        if (waitMs > 0) {
+          note("discovery: a call for " + request.start() + " waits");
+          Thread.sleep(waitMs);
+        }
         awaitVoice();
         out.write(
             "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nTransfer-Encoding: chunked\r\n\r\n"
