--- a/review/9/Case9.java
+++ b/review/10/ListInPieces.java
@@ -9,7 +9,7 @@
  * A gateway is killed, hosts leave while it is away, and the agent's whole list comes in two pieces.
  * After the first piece the new process takes the old list of its configuration for current.
  */
-final class Case9 {
+final class ListInPieces {
   private static final int HOSTS = 12;
   private static final int GATEWAYS = 2;
   private static final int CLIENTS = 24;
@@ -28,12 +28,12 @@
   private volatile double hostsLeftMs = Double.POSITIVE_INFINITY;
   private volatile double startedMs = Double.POSITIVE_INFINITY;
 
-  private Case9(Lab lab) {
+  private ListInPieces(Lab lab) {
     this.lab = lab;
   }
 
   public static void main(String[] args) {
-    Lab.main(args[0], lab -> new Case9(lab).play());
+    Lab.main(args[0], lab -> new ListInPieces(lab).play());
   }
 
   private List<String> play() throws Exception {
--- a/review/10/Case10.java
+++ b/review/8/QuickConfigurations.java
@@ -9,7 +9,7 @@
  * New configurations in quick succession move a slow discovery. Each gives up the call that waits at
  * the address before, so the gateway hears of no drain for as long as they go on.
  */
-final class Case10 {
+final class QuickConfigurations {
   private static final int HOSTS = 10;
   private static final int CLIENTS = 12;
 
@@ -36,12 +36,12 @@
   private double readyAtMs;
   private volatile double drainsAtMs = Double.POSITIVE_INFINITY;
 
-  private Case10(Lab lab) {
+  private QuickConfigurations(Lab lab) {
     this.lab = lab;
   }
 
   public static void main(String[] args) {
-    Lab.main(args[0], lab -> new Case10(lab).play());
+    Lab.main(args[0], lab -> new QuickConfigurations(lab).play());
   }
 
   private List<String> play() throws Exception {
--- a/review/8/Case8.java
+++ b/review/9/SilentAgent.java
@@ -9,7 +9,7 @@
  * A gateway is killed; while it is away a host begins to drain, its agent is told, and discovery goes
  * down. The new process uses the list of its configuration and sends to the draining host.
  */
-final class Case8 {
+final class SilentAgent {
   private static final int HOSTS = 10;
   private static final int GATEWAYS = 2;
   private static final int CLIENTS = 12;
@@ -34,12 +34,12 @@
   /** When the gateway that was killed was started again; never, before. */
   private volatile double restartedMs = Double.POSITIVE_INFINITY;
 
-  private Case8(Lab lab) {
+  private SilentAgent(Lab lab) {
     this.lab = lab;
   }
 
   public static void main(String[] args) {
-    Lab.main(args[0], lab -> new Case8(lab).play());
+    Lab.main(args[0], lab -> new SilentAgent(lab).play());
   }
 
   private List<String> play() throws Exception {
