--- a/review/standin-2/Lab.java
+++ b/review/standin-2/Lab.java
@@ -97,7 +97,12 @@
 
   private void endProcesses() {
     for (Gateway gateway : gateways) {
-      gateway.process.destroyForcibly();
+      if (gateway.process != null) {
+        gateway.process.destroyForcibly();
+      }
+      if (gateway.successor != null) {
+        gateway.successor.destroyForcibly();
+      }
     }
   }
 
@@ -106,7 +111,12 @@
     endProcesses();
     for (Gateway gateway : gateways) {
       try {
-        gateway.process.waitFor(10, TimeUnit.SECONDS);
+        if (gateway.process != null) {
+          gateway.process.waitFor(10, TimeUnit.SECONDS);
+        }
+        if (gateway.successor != null) {
+          gateway.successor.waitFor(10, TimeUnit.SECONDS);
+        }
       } catch (InterruptedException e) {
         Thread.currentThread().interrupt();
       }
@@ -134,6 +144,9 @@
     private int starts;
     Process process;
 
+    /** The process of an upgrade that serves at the same address beside the older one, or null. */
+    Process successor;
+
     /** When the process was started, on the clock of the case. */
     double startedAtMs;
 
@@ -161,26 +174,69 @@
     }
 
     void start() throws Exception {
+      startedAtMs = nowMs();
+      process = launch(Files.createDirectory(home.resolve("tmp" + starts++)), null);
+      note("platform: started " + name + ", process " + process.pid());
+    }
+
+    /** Starts with an address for operators, as an upgrade needs it. */
+    void startManaged(String management) throws Exception {
+      startedAtMs = nowMs();
+      process = launch(Files.createDirectories(home.resolve("shared")), management);
+      note("platform: started " + name + ", process " + process.pid());
+    }
+
+    /** Starts the new process of an upgrade: same configuration and TMPDIR, another management. */
+    void startSuccessor(String management) throws Exception {
+      successor = launch(home.resolve("shared"), management);
+      note("platform: started the successor of " + name + ", process " + successor.pid());
+    }
+
+    private Process launch(Path tmp, String management) throws Exception {
       String deploy = Files.readString(Path.of("deploy/balancer.toml"));
       Matcher run = Pattern.compile("(?m)^run = \"(.*)\"$").matcher(deploy);
       if (!run.find()) {
         throw new IOException("no run command in the deploy file");
       }
       ProcessBuilder builder = new ProcessBuilder("/bin/sh", "-c", run.group(1));
-      Path tmp = Files.createDirectory(home.resolve("tmp" + starts++));
       builder.environment().put("NODE_CONFIG", home.resolve("config.json").toString());
       builder.environment().put("NODE_NAME", name);
       builder.environment().put("TMPDIR", tmp.toString());
       builder.environment().remove("NODE_LISTEN");
       builder.environment().remove("NODE_DISCOVERY");
       builder.environment().remove("NODE_MANAGEMENT");
+      if (management != null) {
+        builder.environment().put("NODE_MANAGEMENT", management);
+      }
       builder.environment().remove("PUMICETRAY_CONFIG");
       builder
           .redirectErrorStream(true)
           .redirectOutput(ProcessBuilder.Redirect.appendTo(log().toFile()));
-      startedAtMs = nowMs();
-      process = builder.start();
-      note("platform: started " + name + ", process " + process.pid());
+      return builder.start();
+    }
+
+    /** Waits for yes from the operators' address of the process. */
+    void awaitServing(String management) throws Exception {
+      int port = Integer.parseInt(management.substring(management.indexOf(':') + 1));
+      double until = nowMs() + READY_MS;
+      while (nowMs() < until) {
+        try (Client client = new Client(port)) {
+          client.send("GET /_ready HTTP/1.1\r\nHost: operators\r\n\r\n");
+          Message answer = client.receive(nowMs() + 1_000);
+          if (answer != null && answer.status() == 200) {
+            return;
+          }
+        } catch (IOException e) {
+          // Not listening yet.
+        }
+        Thread.sleep(20);
+      }
+      throw new IOException("the successor of " + name + " does not serve after 30 s");
+    }
+
+    void terminate() {
+      note("platform: SIGTERM to " + name);
+      process.destroy();
     }
 
     /** Waits until the health check answers 200. */
@@ -213,6 +269,13 @@
     }
   }
 
+  /** An address with a free port. */
+  static String freeAddress() throws IOException {
+    try (ServerSocket free = new ServerSocket(0, 1, loopback())) {
+      return "127.0.0.1:" + free.getLocalPort();
+    }
+  }
+
   static InetAddress loopback() throws IOException {
     return InetAddress.getByName("127.0.0.1");
   }
