--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -4,4 +4,5 @@
 cd "$(dirname "$0")/.."
 rm -rf target/review-2
 mkdir -p target/review-2
-javac -nowarn -d target/review-2 review/standin-2/*.java $(ls review/[6-9]/*.java review/1[01]/*.java 2>/dev/null)
+sources=$(ls review/standin-2/*.java review/[6-9]/*.java review/1[0-9]/*.java 2>/dev/null || true)
+javac -nowarn -cp target/hazelspoke.jar -d target/review-2 $sources
--- a/review/standin-2/Lab.java
+++ b/review/standin-2/Lab.java
@@ -144,6 +144,9 @@
     private int starts;
     Process process;
 
+    /** The operator's file and this member's name, which turn on the shared record; or null. */
+    String operatorFile;
+
     /** The process of an upgrade that serves at the same address beside the older one, or null. */
     Process successor;
 
@@ -209,6 +212,10 @@
         builder.environment().put("NODE_MANAGEMENT", management);
       }
       builder.environment().remove("PUMICETRAY_CONFIG");
+      if (operatorFile != null) {
+        builder.environment().put("PUMICETRAY_CONFIG", operatorFile);
+        builder.environment().put("PUMICETRAY_MEMBER", name);
+      }
       builder
           .redirectErrorStream(true)
           .redirectOutput(ProcessBuilder.Redirect.appendTo(log().toFile()));
@@ -258,6 +265,11 @@
       throw new IOException(name + " is not ready after 30 s");
     }
 
+    /** A folder that outlasts the process. */
+    Path dataFolder() throws IOException {
+      return Files.createDirectories(home.resolve("data"));
+    }
+
     void hangUp() throws Exception {
       note("platform: SIGHUP to " + name);
       new ProcessBuilder("/bin/sh", "-c", "kill -HUP " + process.pid()).start().waitFor();
