--- a/review/standin-2/Lab.java
+++ b/review/standin-2/Lab.java
@@ -274,11 +274,6 @@
       note("platform: SIGHUP to " + name);
       new ProcessBuilder("/bin/sh", "-c", "kill -HUP " + process.pid()).start().waitFor();
     }
-
-    void kill() throws Exception {
-      note("platform: SIGKILL to " + name);
-      process.destroyForcibly().waitFor();
-    }
   }
 
   /** An address with a free port. */
@@ -313,7 +308,7 @@
         + String.join(",", texts) + "]}";
   }
 
-  /** Discovery, or an agent that has what discovery has told it. */
+  /** Discovery: answers calls with the whole list or the changes, and watches with each change. */
   final class Discovery implements Closeable {
     private volatile ServerSocket listener;
     private final Map<ServerSocket, List<Socket>> sockets = new ConcurrentHashMap<>();
@@ -321,10 +316,6 @@
     private final TreeMap<Long, Entry> changes = new TreeMap<>();
     private final long firstIndex;
     private long index;
-    private volatile boolean silent;
-
-    /** If above 0, the first message of a call comes in two pieces, so many milliseconds apart. */
-    volatile long pieceGapMs;
 
     /** How long a call waits before it is answered. */
     volatile long waitMs;
@@ -382,22 +373,6 @@
       notifyAll();
     }
 
-    /** The host is no longer named in whole lists. */
-    synchronized void forget(Entry entry) {
-      index++;
-      entries.remove(entry.name());
-      changes.put(index, entry.with("Gone"));
-      note("discovery: index " + index + ", " + entry.name() + " is gone");
-      notifyAll();
-    }
-
-    /** While silent it accepts connections, keeps the open ones, and says nothing. */
-    synchronized void setSilent(boolean on) {
-      silent = on;
-      note("discovery: " + (on ? "silent" : "speaks again"));
-      notifyAll();
-    }
-
     private void serve(Socket socket) throws Exception {
       try (socket) {
         socket.setTcpNoDelay(true);
@@ -413,7 +388,6 @@
           note("discovery: a call for " + request.start() + " waits");
           Thread.sleep(waitMs);
         }
-        awaitVoice();
         out.write(
             "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nTransfer-Encoding: chunked\r\n\r\n"
                 .getBytes(StandardCharsets.US_ASCII));
@@ -421,33 +395,22 @@
         String first;
         synchronized (this) {
           told = index;
-          boolean whole = !isWatch || from < firstIndex || from > index || pieceGapMs > 0;
+          boolean whole = !isWatch || from < firstIndex || from > index;
           first = whole
               ? list(index, true, entries.values())
               : list(index, false, List.copyOf(changes.tailMap(from, false).values()));
         }
-        if (pieceGapMs > 0) {
-          // A chunk with the first two entries, and one with the others.
-          int end = first.indexOf("},{", first.indexOf("},{") + 1) + 1;
-          write(out, first.substring(0, end));
-          Thread.sleep(pieceGapMs);
-          first = first.substring(end);
-        }
         chunk(out, first);
         if (!isWatch) {
           out.write("0\r\n\r\n".getBytes(StandardCharsets.US_ASCII));
           return;
         }
         while (true) {
-          awaitVoice();
           String line = "";
           synchronized (this) {
             if (told == index) {
               wait(2_000);
             }
-            if (silent) {
-              continue;
-            }
             if (told < index) {
               line = list(index, false, List.copyOf(changes.tailMap(told, false).values()));
               told = index;
@@ -458,18 +421,8 @@
       }
     }
 
-    private synchronized void awaitVoice() throws InterruptedException {
-      while (silent) {
-        wait();
-      }
-    }
-
     private void chunk(OutputStream out, String line) throws IOException {
-      write(out, line + "\n");
-    }
-
-    private void write(OutputStream out, String text) throws IOException {
-      byte[] bytes = text.getBytes(StandardCharsets.UTF_8);
+      byte[] bytes = (line + "\n").getBytes(StandardCharsets.UTF_8);
       ByteArrayOutputStream chunk = new ByteArrayOutputStream();
       chunk.writeBytes((Integer.toHexString(bytes.length) + "\r\n").getBytes(StandardCharsets.US_ASCII));
       chunk.writeBytes(bytes);
--- a/review/standin-2/Sites.java
+++ b/review/standin-2/Sites.java
@@ -57,24 +57,4 @@
             + "\"clients\":{\"marks_retry\":false},\"extra\":{\"warm_keys\":false},"
             + "\"report\":{\"columns\":[],\"how\":\"silent\"}");
   }
-
-  /** deploy/sites/quayside-berths.toml. */
-  static String quaysideBerths(int gateways) {
-    return settings(
-        "\"north-quay\",\"south-quay\"",
-        type("tide-table", "repeatable", "all", 200, 500, 5_000, 1) + ","
-            + type("hold-berth", "by_key", "cell", 250, 700, 400, 3) + ","
-            + type("crew-note", "by_key", "all", 300, 800, 800, 2) + ","
-            + type("cast-off", "once", "all", 300, 600, 5_000, 12),
-        "pushed",
-        "\"cancelling\":false,\"conn_idle\":3000.0,\"connect_timeout\":400.0,"
-            + "\"max_retry_after\":400.0,\"may_probe\":false,\"retry_after\":false,"
-            + "\"second_copies\":false,\"send_cap\":2",
-        "\"cold\":7000.0,\"cold_from\":0.2,\"drain_grace\":500.0,\"fall\":1500.0,"
-            + "\"fall_multiple\":4.0",
-        "\"instances\":" + gateways + ",\"kinds\":[\"tall\",\"flat\"],"
-            + "\"tiers\":[\"berth-planners\"],\"clients\":{\"marks_retry\":true},"
-            + "\"extra\":{\"warm_keys\":false},\"report\":{\"columns\":[\"load_share\",\"depth\"],"
-            + "\"how\":\"piggyback\"}");
-  }
 }
