--- a/src/main/java/hazelspoke/front/http/ClientConnection.java
+++ b/src/main/java/hazelspoke/front/http/ClientConnection.java
@@ -39,16 +39,11 @@
 import io.netty.util.concurrent.Future;
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
-import java.util.ArrayDeque;
-import java.util.Deque;
 import java.util.concurrent.TimeUnit;
 
 /** A client connection: reads requests one after the other and writes the responses. */
 final class ClientConnection extends ChannelInboundHandlerAdapter
     implements Client, ByteBudget.Holder {
-  /** Limit of input buffered while a response is being written; beyond it reading is paused. */
-  private static final int MAX_PIPELINED_BYTES = 16_384;
-
   /** How long input is read after the last response, so that no reset destroys that response. */
   private static final long LINGER_MS = 1_000;
 
@@ -96,8 +91,12 @@
   /** Counts what the decoder holds of an incomplete head, and input that awaits a response. */
   private final ByteBudget.Share inputShare;
 
-  private final Deque<HttpObject> pipelined = new ArrayDeque<>();
-  private long pipelinedBytes;
+  private final PipelinedInput pipelined = new PipelinedInput();
+
+  private final SurplusInput surplus = new SurplusInput();
+
+  /** Whether the next request began to arrive while a response was being written. */
+  private boolean nextRequestBegun;
 
   /** Whether the request after the current response is rejected, as there is no room for it. */
   private boolean rejectsNext;
@@ -181,20 +180,38 @@
   /**
    * Called when bytes arrive, before they are decoded.
    *
-   * @param byteCount the number of bytes
-   * @param filledBuffer whether the read filled its buffer, so that it may have left bytes unread
+   * @param bytes the bytes, which are not consumed here
    */
-  void bytesReceived(int byteCount, boolean filledBuffer) {
+  void bytesReceived(ByteBuf bytes) {
     lastBytesAtMs = server.nowMs();
-    input.onRead(byteCount, filledBuffer, remainder != null);
-    if (state == State.FRESH || state == State.IDLE) {
-      enter(State.HEAD);
-      if (server.isRejectingRequests()) {
-        reject(HttpResponseStatus.SERVICE_UNAVAILABLE, "closing");
+    // A read that filled its buffer may have left bytes unread.
+    input.onRead(bytes.readableBytes(), !bytes.isWritable(), remainder != null);
+    switch (state) {
+      case FRESH -> beginHead();
+      case IDLE -> {
+        if (!SurplusInput.isLineEnds(bytes)) {
+          beginHead();
+        }
+      }
+      case IN_HAND -> {
+        if (surplus.exceedsEmptyLine(bytes)) {
+          rejectSurplus();
+        }
+      }
+      case ANSWERING -> nextRequestBegun |= !SurplusInput.isLineEnds(bytes);
+      case HEAD, READING, CLOSING -> {
+        // The decoder's output tells.
       }
     }
   }
 
+  private void beginHead() {
+    enter(State.HEAD);
+    if (server.isRejectingRequests()) {
+      reject(HttpResponseStatus.SERVICE_UNAVAILABLE, "closing");
+    }
+  }
+
   /** Called after the bytes that arrived were decoded. */
   void bytesHandled() {
     countInput();
@@ -204,7 +221,7 @@
   /** Counts the input that is held besides that of the current request. */
   private void countInput() {
     long decoderBytes = decoder == null ? 0 : decoder.heldBytes();
-    switch (inputShare.resize(decoderBytes + pipelinedBytes)) {
+    switch (inputShare.resize(decoderBytes + pipelined.heldBytes())) {
       case AVAILABLE -> {
         // Reads on.
       }
@@ -220,7 +237,7 @@
     switch (state) {
       case HEAD, READING ->
           reject(HttpResponseStatus.SERVICE_UNAVAILABLE, "no room for a slow request");
-      case IN_HAND -> rejectPipelined();
+      case IN_HAND -> rejectSurplus();
       case ANSWERING -> {
         rejectsNext = true;
         dropInput();
@@ -232,7 +249,7 @@
 
   /** Stops decoding and releases what the decoder holds; all further input is discarded. */
   private void dropInput() {
-    dropPipelined();
+    pipelined.drop();
     if (decoder != null) {
       StrictRequestDecoder removed = decoder;
       decoder = null;
@@ -362,12 +379,10 @@
       discard(message);
     } else if (state == State.IN_HAND) {
       ReferenceCountUtil.release(message);
-      rejectPipelined();
+      rejectSurplus();
     } else if (state == State.ANSWERING) {
-      HttpObject held = HeldMessage.of((HttpObject) message);
-      pipelined.add(held);
-      pipelinedBytes += HeldMessage.heldBytes(held);
-      if (pipelinedBytes > MAX_PIPELINED_BYTES) {
+      pipelined.add((HttpObject) message);
+      if (pipelined.isFull()) {
         channel.config().setAutoRead(false);
       }
     } else {
@@ -384,17 +399,23 @@
   }
 
   /**
-   * Rejects input that follows a request before its response. Clients send one request at a time,
-   * so this is invalid bytes after a body, a smuggled request, or a flood of requests; neither the
-   * input nor the request before it is served.
+   * Rejects input that follows a request before its response; neither that input nor the request
+   * before it is served. See {@link SurplusInput}.
    */
-  private void rejectPipelined() {
+  private void rejectSurplus() {
+    server.logRejected(
+        describe(), HttpResponseStatus.BAD_REQUEST.code(), SurplusInput.REJECTION_MESSAGE);
     keepAlive = false;
     if (exchange != null) {
       server.clientDisconnected(exchange);
       exchange = null;
     }
-    sendOwnResponse(HttpResponseStatus.BAD_REQUEST, "one request at a time", 0);
+    sendOwnResponse(HttpResponseStatus.BAD_REQUEST, SurplusInput.REJECTION_MESSAGE, 0);
+  }
+
+  /** Whether input that was read already follows the request that has just been received. */
+  private boolean isFollowedByInput() {
+    return !pipelined.isEmpty() || surplus.exceedsEmptyLine(decoder.undecodedBytes());
   }
 
   private void onMessage(HttpObject message) {
@@ -466,6 +487,8 @@
     sendingMsBeforeBody = waitTracker.totalMs(Awaited.PEER_TO_SEND);
     mayBeCompleteSinceMs = Double.POSITIVE_INFINITY;
     input.onRequestBegun();
+    surplus.onRequestBegun();
+    nextRequestBegun = false;
     if (isHealthCheck) {
       RequestHead.checkLength(request, 0);
       return;
@@ -491,6 +514,9 @@
       throw new BadRequestException(
           HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE, "the body is too large");
     }
+    if (content instanceof LastHttpContent && isFollowedByInput()) {
+      throw new BadRequestException(HttpResponseStatus.BAD_REQUEST, SurplusInput.REJECTION_MESSAGE);
+    }
     if (remainder != null) {
       stream(content);
       return;
@@ -762,16 +788,16 @@
       return;
     }
     while (!pipelined.isEmpty() && (state == State.IDLE || state == State.READING)) {
-      HttpObject message = pipelined.poll();
-      pipelinedBytes -= HeldMessage.heldBytes(message);
-      onMessage(message);
+      onMessage(pipelined.poll());
+    }
+    if (state == State.IDLE && nextRequestBegun) {
+      nextRequestBegun = false;
+      beginHead();
     }
     countInput();
-    if (state == State.IN_HAND && !pipelined.isEmpty()) {
-      rejectPipelined();
-    } else if (state == State.IDLE && server.isShuttingDown()) {
+    if (state == State.IDLE && server.isShuttingDown()) {
       expire();
-    } else if (pipelinedBytes <= MAX_PIPELINED_BYTES) {
+    } else if (!pipelined.isFull()) {
       channel.config().setAutoRead(true);
     }
   }
@@ -852,7 +878,7 @@
     }
     releaseResponse();
     reportResponseWritten();
-    dropPipelined();
+    pipelined.drop();
     inputShare.release();
     if (state == State.IN_HAND && exchange != null) {
       server.clientDisconnected(exchange);
@@ -893,10 +919,4 @@
       }
     }
   }
-
-  private void dropPipelined() {
-    pipelined.forEach(ReferenceCountUtil::release);
-    pipelined.clear();
-    pipelinedBytes = 0;
-  }
 }
--- a/src/main/java/hazelspoke/front/http/FirstBytesHandler.java
+++ b/src/main/java/hazelspoke/front/http/FirstBytesHandler.java
@@ -14,8 +14,7 @@
 
   @Override
   public void channelRead(ChannelHandlerContext ctx, Object message) {
-    ByteBuf bytes = (ByteBuf) message;
-    connection.bytesReceived(bytes.readableBytes(), !bytes.isWritable());
+    connection.bytesReceived((ByteBuf) message);
     ctx.fireChannelRead(message);
     connection.bytesHandled();
   }
--- a/src/main/java/hazelspoke/front/http/StrictRequestDecoder.java
+++ b/src/main/java/hazelspoke/front/http/StrictRequestDecoder.java
@@ -33,6 +33,14 @@
     return footprint.heldBytes(internalBuffer());
   }
 
+  /**
+   * The bytes that were received and not decoded. Right after the last part of a request was
+   * emitted, these are the bytes behind that request. Not to be kept or changed.
+   */
+  ByteBuf undecodedBytes() {
+    return internalBuffer();
+  }
+
   @Override
   protected AsciiString splitHeaderName(byte[] line, int start, int length) {
     footprint.onHeaderLine();
