--- a/src/main/java/hazelspoke/bench/LoadGenerator.java
+++ b/src/main/java/hazelspoke/bench/LoadGenerator.java
@@ -24,10 +24,12 @@
   /** Results while counting: times in microseconds; non-2xx responses and closed connections. */
   record Result(Histogram timesUs, long failed, double seconds) {}
 
+  /** Counts the requests of all rounds, as a gateway accepts no id again. */
+  private static final AtomicLong NEXT_NUMBER = new AtomicLong();
+
   private final EventLoopGroup loops;
   private final InetSocketAddress to;
   private final double remainingS;
-  private final AtomicLong nextNumber = new AtomicLong();
   private final Histogram times = new ConcurrentHistogram(MAX_RECORDED_US, SIGNIFICANT_DIGITS);
   private final AtomicLong failed = new AtomicLong();
   private final List<Channel> channels = new ArrayList<>();
@@ -96,7 +98,7 @@
       responseStarted = false;
       sentAtNanos = System.nanoTime();
       ctx.writeAndFlush(
-          Messages.request(nextNumber.getAndIncrement(), remainingS), ctx.voidPromise());
+          Messages.request(NEXT_NUMBER.getAndIncrement(), remainingS), ctx.voidPromise());
     }
 
     @Override
--- a/src/main/java/hazelspoke/core/Dispatcher.java
+++ b/src/main/java/hazelspoke/core/Dispatcher.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.concurrent.TimeUnit;
 import java.util.stream.Collectors;
 import ternscale.api.Actions;
 import ternscale.api.Balancer;
@@ -45,10 +46,7 @@
   private final HostLimit hostLimit = new HostLimit();
   private final Map<String, Exchange> exchanges = new HashMap<>();
 
-  /** The client-assigned ids of the requests that are pending. */
-  private final Set<String> openTxns = new HashSet<>();
-
-  private final AbandonedIds abandonedIds;
+  private final RequestIds ids;
   private Discovery discovery;
   private Balancer balancer;
   private boolean inBalancerCall;
@@ -61,6 +59,8 @@
   /**
    * Creates a dispatcher that accepts at most {@code openCap} requests at a time and refuses
    * further ones.
+   *
+   * @param ids the client-assigned ids that are taken, possibly shared with other processes
    */
   public Dispatcher(
       EventLoop loop,
@@ -70,6 +70,7 @@
       Clock clock,
       Log log,
       HostTransport hosts,
+      RequestIds ids,
       Meter meter) {
     this.loop = loop;
     this.clock = clock;
@@ -79,12 +80,25 @@
     this.openCap = openCap;
     this.hosts = hosts;
     this.meter = meter;
-    abandonedIds = new AbandonedIds(clock);
+    this.ids = ids;
     lag = new LoopLag(loop, clock);
     timers = new Timers(loop, clock);
     violations = new Violations(log, meter);
     services =
         new CoreServices(loop, clock, hosts, timers, lag, meter, new SendGuard(clock, violations));
+    loop.scheduleWithFixedDelay(
+        this::renewIds,
+        RequestIds.RENEWAL_INTERVAL_MS,
+        RequestIds.RENEWAL_INTERVAL_MS,
+        TimeUnit.MILLISECONDS);
+  }
+
+  private void renewIds() {
+    for (Exchange exchange : exchanges.values()) {
+      if (!exchange.ended) {
+        ids.renew(exchange.request().txn());
+      }
+    }
   }
 
   /** The counter of invariant violations. */
@@ -252,8 +266,14 @@
   }
 
   @Override
-  public boolean isOpen(String txn) {
-    return openTxns.contains(txn) || abandonedIds.contains(txn);
+  public boolean claimId(Exchange exchange) {
+    exchange.holdsId = ids.claim(exchange.request().txn());
+    return exchange.holdsId;
+  }
+
+  /** Whether a request has this client-assigned id; used by tests. */
+  boolean isTaken(String txn) {
+    return ids.contains(txn);
   }
 
   @Override
@@ -271,7 +291,6 @@
       return;
     }
     exchanges.put(exchange.id, exchange);
-    openTxns.add(exchange.request().txn());
     exchange.overdueTimer = new OverdueTimer(exchange);
     if (exchange.deadlineMs < Double.POSITIVE_INFINITY) {
       timers.add(exchange.overdueTimer, exchange.deadlineMs + OVERDUE_GRACE_MS - nowMs);
@@ -410,11 +429,11 @@
   }
 
   /**
-   * The number of retained objects: open requests, their ids, attempts in flight and timers. Used
-   * by tests.
+   * The number of retained objects: open requests, ids that are taken, attempts in flight and
+   * timers. Used by tests.
    */
   int retainedCount() {
-    return exchanges.size() + openTxns.size() + timers.size();
+    return exchanges.size() + ids.size() + timers.size();
   }
 
   @Override
@@ -423,9 +442,6 @@
       return;
     }
     boolean sent = exchange.attempts.stream().anyMatch(Attempt::isFullySent);
-    if (sent && exchange.request().effect() != Settings.Effect.REPEATABLE) {
-      abandonedIds.add(exchange.request().txn());
-    }
     end(exchange);
     meter.onClientDisconnected(sent);
     callBalancer(exchange, () -> balancer.onClientDisconnected(clock.nowMs(), exchange.id));
@@ -433,7 +449,7 @@
 
   private void end(Exchange exchange) {
     pendingCount--;
-    openTxns.remove(exchange.request().txn());
+    settleId(exchange);
     if (exchange.overdueTimer != null) {
       timers.remove(exchange.overdueTimer);
     }
@@ -447,6 +463,23 @@
     }
   }
 
+  /**
+   * Retains the id of a request that has run or may still run: the same request must not run again,
+   * whatever became of its client and its answer. Clients use a new id for each request, also for a
+   * retry.
+   */
+  private void settleId(Exchange exchange) {
+    if (!exchange.holdsId) {
+      return;
+    }
+    exchange.holdsId = false;
+    if (exchange.mayHaveTakenEffect()) {
+      ids.retain(exchange.request().txn());
+    } else {
+      ids.release(exchange.request().txn());
+    }
+  }
+
   private void answer(Exchange exchange, Answer answer) {
     if (!exchange.ended) {
       exchange.answeredAtMs = clock.nowMs();
--- a/src/main/java/hazelspoke/core/Exchange.java
+++ b/src/main/java/hazelspoke/core/Exchange.java
@@ -60,6 +60,9 @@
   /** Whether the client was answered or has disconnected; nothing more may be answered or sent. */
   boolean ended;
 
+  /** Whether the client-assigned id is claimed for this request. */
+  boolean holdsId;
+
   /** The number of attempts whose outcome has not been reported to the balancer. */
   int pendingOutcomes;
 
@@ -102,6 +105,12 @@
     earlierWaitMs = milliseconds;
   }
 
+  /** Whether the request must not run twice and may have run. Not called after its end. */
+  boolean mayHaveTakenEffect() {
+    return request.effect() != Effect.REPEATABLE
+        && attempts.stream().anyMatch(attempt -> attempt.isFullySent() && attempt.mayHaveRun());
+  }
+
   /** The share that counts the body. */
   public ByteBudget.Share share() {
     return share;
--- a/src/main/java/hazelspoke/core/RequestHandler.java
+++ b/src/main/java/hazelspoke/core/RequestHandler.java
@@ -44,8 +44,10 @@
   double estimatedWaitMs();
 
   /**
-   * Whether a request with this client-assigned id is pending, or may run at a host although its
-   * client has disconnected.
+   * Claims the client-assigned id of a request immediately before {@link #onRequest}.
+   *
+   * @return false if a request with this id is open, here or at another process of this gateway, or
+   *     has ended a short while ago and may have run although it must not run twice
    */
-  boolean isOpen(String txn);
+  boolean claimId(Exchange exchange);
 }
--- a/src/main/java/hazelspoke/core/package-info.java
+++ b/src/main/java/hazelspoke/core/package-info.java
@@ -87,8 +87,8 @@
  * of another. It may answer a request itself, in which case it releases the share and does not
  * forward the request; forward it with a {@link hazelspoke.core.Client} of its own that forwards
  * the answer; and forward another exchange for the same request. It must give each client one
- * answer, forward {@code onClientDisconnected} for the requests that it has forwarded, report the
- * requests that it holds as {@link hazelspoke.core.RequestHandler#isOpen open}, and hold none
+ * answer, forward {@code onClientDisconnected} for the requests that it has forwarded, claim the
+ * ids of requests that it holds with {@link hazelspoke.core.RequestHandler#claimId}, and hold none
  * beyond its deadline. It must not choose hosts, start attempts, or turn a failure into a refusal:
  * a refusal promises that a retry is harmless, which only the balancer knows.
  */
--- a/src/main/java/hazelspoke/front/http/ClientConnection.java
+++ b/src/main/java/hazelspoke/front/http/ClientConnection.java
@@ -545,7 +545,7 @@
             ready ? "ready" : "closing",
             0);
       } else {
-        checkNotOpen();
+        claimId();
         exchange.share().commit();
         reportWait();
         enter(State.IN_HAND);
@@ -569,7 +569,7 @@
 
   /** Hands over a request whose body is incomplete; the remainder is streamed as it arrives. */
   private void startStreaming(Body body) throws BadRequestException {
-    checkNotOpen();
+    claimId();
     Exchange handedOver = exchange;
     remainder =
         new BodyStream(
@@ -622,10 +622,10 @@
     }
   }
 
-  private void checkNotOpen() throws BadRequestException {
-    if (server.isOpen(exchange)) {
+  private void claimId() throws BadRequestException {
+    if (!server.claimId(exchange)) {
       throw new BadRequestException(
-          HttpResponseStatus.CONFLICT, Headers.TXN + " belongs to an open request");
+          HttpResponseStatus.CONFLICT, Headers.TXN + " belongs to an open or a recent request");
     }
   }
 
--- a/src/main/java/hazelspoke/front/http/ClientServer.java
+++ b/src/main/java/hazelspoke/front/http/ClientServer.java
@@ -366,9 +366,9 @@
     return requestBudget.hasHeadroom();
   }
 
-  /** Whether another request with the same id is open; it is not affected. */
-  public boolean isOpen(Exchange exchange) {
-    return requestHandler.isOpen(exchange.request().txn());
+  /** Claims the id of a request that is accepted next; false if another request has it. */
+  boolean claimId(Exchange exchange) {
+    return requestHandler.claimId(exchange);
   }
 
   /** How long bytes that are being read have waited, in milliseconds. */
--- a/src/main/java/hazelspoke/node/Gateway.java
+++ b/src/main/java/hazelspoke/node/Gateway.java
@@ -9,12 +9,14 @@
 import hazelspoke.core.HostList;
 import hazelspoke.core.Log;
 import hazelspoke.core.Meter;
+import hazelspoke.core.RequestIds;
 import hazelspoke.discovery.DiscoveryClient;
 import hazelspoke.front.http.ClientServer;
 import hazelspoke.net.EventLoops;
 import hazelspoke.net.SocketPolling;
 import hazelspoke.net.Transport;
 import hazelspoke.takeover.ServingPidFile;
+import hazelspoke.takeover.SharedMemoryFile;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.EventLoop;
 import io.netty.channel.EventLoopGroup;
@@ -75,6 +77,9 @@
    */
   private static final long FIRST_LIST_TIMEOUT_MS = 400;
 
+  /** The file with the ids of requests, with the version of its format. */
+  private static final String REQUEST_IDS_FILE = "request-ids-1";
+
   /** Update interval of the metrics that are not counted as events occur. */
   private static final long METRICS_INTERVAL_MS = 100;
 
@@ -133,6 +138,9 @@
   /** Null if no other process can take over the address. */
   private ServingPidFile pidFile;
 
+  /** Null if they are not shared with other processes. */
+  private RequestIds sharedIds;
+
   Gateway(GatewayConfig config, PrintStream err, Transport transport) {
     this.config = config;
     classes = config.classes();
@@ -187,7 +195,7 @@
         gateway.joinFleet(fleet);
       }
       new WarmUp(config, environment).run(gateway.log, WarmUp.MAX_MS);
-      gateway.openPidFile(temporary(environment));
+      gateway.openSharedFiles(temporary(environment));
       gateway.awaitFleet();
       shutdownHooks.accept(new Thread(gateway::drain, "drain"));
       gateway.start();
@@ -280,11 +288,22 @@
   }
 
   /** With a management address, operators may start a successor process on the same address. */
-  private void openPidFile(Path folder) {
+  private void openSharedFiles(Path folder) {
     if (management != null) {
-      InetSocketAddress address = config.listen();
-      setPidFile(
-          ServingPidFile.ofThisProcess(folder, address.getHostString() + "-" + address.getPort()));
+      String address = config.listen().getHostString() + "-" + config.listen().getPort();
+      setPidFile(ServingPidFile.ofThisProcess(folder, address));
+      shareRequestIds(folder, address);
+    }
+  }
+
+  /** Shares the ids of requests with the processes that serve at this address from this folder. */
+  void shareRequestIds(Path folder, String address) {
+    SharedMemoryFile file =
+        new SharedMemoryFile(folder, address, REQUEST_IDS_FILE, RequestIds.BUFFER_BYTES);
+    try {
+      sharedIds = RequestIds.shared(file.map(), System::nanoTime);
+    } catch (IOException e) {
+      log.failure("a process that takes over will not know the ids of open requests", e);
     }
   }
 
@@ -337,6 +356,7 @@
             clock,
             log,
             hosts,
+            sharedIds == null ? RequestIds.ofOneProcess(System::nanoTime) : sharedIds,
             management == null ? Meter.NONE : management.meter());
     boolean pushed = config.settings().discovery() == Settings.Discovery.PUSHED;
     // The warm-up has no discovery agent.
--- a/src/main/java/hazelspoke/takeover/ServingPidFile.java
+++ b/src/main/java/hazelspoke/takeover/ServingPidFile.java
@@ -28,7 +28,7 @@
    * @param isAlive returns whether a process with the given id is running
    */
   public ServingPidFile(Path folder, String address, long self, LongPredicate isAlive) {
-    file = folder.resolve("pumicetray-" + address.replaceAll("[^A-Za-z0-9.]", "_") + ".serving");
+    file = SharedFolder.file(folder, address, "serving");
     this.self = self;
     this.isAlive = isAlive;
   }
--- a/src/test/java/hazelspoke/core/DispatcherFixture.java
+++ b/src/test/java/hazelspoke/core/DispatcherFixture.java
@@ -148,6 +148,7 @@
             clock,
             new Log(new PrintStream(log, true), clock),
             this,
+            RequestIds.ofOneProcess(ticker::nanoTime),
             Meter.NONE);
     dispatcher.start(balancerFactory.apply(dispatcher), this);
   }
@@ -197,6 +198,9 @@
             new Body());
     client.request = request;
     client.exchange = new Exchange(request, client, share);
+    if (!dispatcher.claimId(client.exchange)) {
+      throw new AssertionError("the id is taken");
+    }
     dispatcher.onRequest(client.exchange);
     return client;
   }
