--- a/src/main/java/hazelspoke/discovery/DiscoveryClient.java
+++ b/src/main/java/hazelspoke/discovery/DiscoveryClient.java
@@ -250,6 +250,7 @@
       return;
     }
     log.line("discovery is now at " + next);
+    logCallsGivenUp();
     address = next;
     version = 0;
     List<Call> callsToOldAddress = List.copyOf(calls);
@@ -265,6 +266,15 @@
     callsToOldAddress.forEach(call -> poll());
   }
 
+  /** Logs what a change of the address closes: the age of each call, and how long it was silent. */
+  private void logCallsGivenUp() {
+    if (watch != null) {
+      watch.logGivenUp("an answered watch");
+    }
+    pendingWatches.forEach(call -> call.logGivenUp("a waiting watch"));
+    calls.forEach(call -> call.logGivenUp("a poll"));
+  }
+
   /** A watch or a poll: its connection and the state of its response. */
   private final class Call extends ChannelInboundHandlerAdapter {
     private final boolean isWatch;
@@ -274,7 +284,8 @@
     private boolean isValid;
     private boolean listComplete;
     private boolean closed;
-    private double lastDataAtMs = clock.nowMs();
+    private final double openedAtMs = clock.nowMs();
+    private double lastDataAtMs = openedAtMs;
 
     Call(boolean isWatch) {
       this.isWatch = isWatch;
@@ -427,6 +438,13 @@
       }
     }
 
+    private void logGivenUp(String kind) {
+      double now = clock.nowMs();
+      log.line(
+          "discovery: %s is given up after %.0f ms, its last data is %.0f ms old"
+              .formatted(kind, now - openedAtMs, now - lastDataAtMs));
+    }
+
     private void close() {
       closed = true;
       calls.remove(this);
