--- a/src/main/java/hazelspoke/discovery/DiscoveryClient.java
+++ b/src/main/java/hazelspoke/discovery/DiscoveryClient.java
@@ -33,19 +33,18 @@
 import io.netty.util.concurrent.ScheduledFuture;
 import java.io.IOException;
 import java.net.InetSocketAddress;
-import java.util.ArrayDeque;
-import java.util.Deque;
-import java.util.HashSet;
+import java.util.HashMap;
 import java.util.List;
-import java.util.Set;
+import java.util.Map;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import ternscale.adapter.WireException;
 
 /**
- * Calls discovery, by watches and polls. The balancer decides when to call, except for a pushed
- * list, whose watch this class maintains itself. The list is followed until the process ends:
- * requests may be sent during a shutdown too, and they need the current list.
+ * Calls discovery, by watches and polls. {@link ListCalls} decides which calls stay open and what
+ * of their data is used. The balancer decides when to call, except for a pushed list, whose watch
+ * this class maintains itself. The list is followed until the process ends: requests may be sent
+ * during a shutdown too, and they need the current list.
  *
  * <p>An agent that pushes lists responds at once and at no cost, and the gateway is expected to
  * know its list whether or not a watch is open. But the agent may become unresponsive and recover
@@ -63,7 +62,10 @@
    */
   private static final double WATCH_TIMEOUT_MS = 2_500;
 
-  /** Limit for the first bytes of a poll's response, including its wait in discovery's queue. */
+  /**
+   * Limit for the first bytes of the response to a poll, or to a watch at a former address,
+   * including its wait in discovery's queue.
+   */
   private static final double FIRST_BYTES_TIMEOUT_MS = 3_000;
 
   /**
@@ -87,7 +89,7 @@
    */
   private static final double PUSHED_RETRY_INTERVAL_MS = 200;
 
-  /** Limit of open watches of a pushed list that have received no data yet. */
+  /** Limit of watches of a pushed list that wait at the current address. */
   private static final int MAX_PENDING_PUSHED = 4;
 
   /** The same limit for discovery on request, which has to process each call. */
@@ -105,7 +107,6 @@
   private final Bootstrap bootstrap;
   private final Transport transport;
   private final DescriptorAccount descriptors;
-  private InetSocketAddress address;
   private final boolean pushed;
   private final Names names;
   private final Clock clock;
@@ -113,16 +114,10 @@
   private final EventLoop loop;
   private final Consumer<HostList.Update> onUpdate;
   private final Consumer<Boolean> onFailed;
-  private long version;
-  private final Set<Call> calls = new HashSet<>();
-  private Call watch;
-
-  /**
-   * Watches without data so far, the oldest first; for a pushed list possibly in parallel to {@link
-   * #watch}.
-   */
-  private final Deque<Call> pendingWatches = new ArrayDeque<>();
+  private final ListCalls calls;
+  private final Map<ListCall, Call> connections = new HashMap<>();
 
+  /** When the last watch was opened, which is at the current address. */
   private double lastWatchOpenedAtMs = Double.NEGATIVE_INFINITY;
 
   /** Timer that opens the next watch after a failure if the balancer has not; null without one. */
@@ -156,10 +151,9 @@
             .option(ChannelOption.ALLOCATOR, Buffers.ALLOCATOR)
             .option(ChannelOption.RECVBUF_ALLOCATOR, Buffers.receiveAllocator())
             .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MS);
-    address = start.address();
     pushed = start.pushed();
     names = start.names();
-    version = start.version();
+    calls = new ListCalls(start.address(), start.version(), new CallListener());
     this.clock = clock;
     this.log = log;
     this.onUpdate = onUpdate;
@@ -176,19 +170,27 @@
   /** Maintains a watch of a pushed list that receives data. */
   private void maintainWatch() {
     double now = clock.nowMs();
-    if (watch != null && now - watch.lastDataAtMs <= PUSHED_TIMEOUT_MS) {
-      closePendingWatches();
-    } else if (now - lastWatchOpenedAtMs >= PUSHED_RETRY_INTERVAL_MS) {
+    if (hasPushedData(now)) {
+      calls.closeWaitingWatches();
+    } else if (now - lastWatchOpenedAtMs >= PUSHED_RETRY_INTERVAL_MS
+        && !calls.isReceivingFirstLine(now, PUSHED_TIMEOUT_MS)) {
       openWatch(MAX_PENDING_PUSHED);
     }
   }
 
+  private boolean hasPushedData(double now) {
+    return calls.isCurrentActive()
+        && !calls.needsCompleteList()
+        && now - connections.get(calls.active()).lastDataAtMs <= PUSHED_TIMEOUT_MS;
+  }
+
   private void openWatch(int maxPending) {
-    if (pendingWatches.size() == maxPending) {
-      pendingWatches.removeFirst().close();
-    }
     lastWatchOpenedAtMs = clock.nowMs();
-    pendingWatches.add(new Call(true));
+    connect(calls.openWatch(lastWatchOpenedAtMs, maxPending));
+  }
+
+  private void connect(ListCall call) {
+    connections.put(call, new Call(call));
   }
 
   /**
@@ -209,53 +211,38 @@
     }
   }
 
-  private void closePendingWatches() {
-    pendingWatches.forEach(Call::close);
-    pendingWatches.clear();
-  }
-
   @Override
   public void watch(boolean on) {
     if (on) {
-      if (watch == null && !pushed && pendingWatches.isEmpty()) {
+      if (!pushed && calls.needsWatch()) {
         openWatch(MAX_PENDING_ON_REQUEST);
       }
     } else {
       cancelNextWatch();
-      closePendingWatches();
-      closeWatch();
-    }
-  }
-
-  private void closeWatch() {
-    if (watch != null) {
-      watch.close();
-      watch = null;
+      calls.closeWatches();
     }
   }
 
   @Override
   public void poll() {
-    calls.add(new Call(false));
+    connect(calls.openPoll(clock.nowMs()));
   }
 
   /**
-   * Switches to discovery at another address, at once and with a watch from version 0, as versions
-   * of one service are not comparable with another's. Data from the old address is ignored. If the
-   * first watch at the new address fails, another is opened at once: the gateway has to know the
-   * list there within 4 s, which leaves no time for the balancer's back-off.
+   * Calls discovery at another address, at once and for the complete list, as versions of one
+   * service are not comparable with another's. What is open at the old address stays open for as
+   * long as {@link ListCalls} needs it. If the first watch at the new address fails, another is
+   * opened at once: the gateway has to know the list there within 4 s, which leaves no time for the
+   * balancer's back-off.
    */
   public void moveTo(InetSocketAddress next) {
-    if (next.equals(address)) {
+    if (next.equals(calls.current().address())) {
       return;
     }
     log.line("discovery is now at " + next);
-    logCallsGivenUp();
-    address = next;
-    version = 0;
-    List<Call> callsToOldAddress = List.copyOf(calls);
-    callsToOldAddress.forEach(Call::close);
-    watch(false);
+    boolean hasWaitingPoll = calls.hasWaitingPoll();
+    calls.moveTo(next);
+    cancelNextWatch();
     if (pushed) {
       lastWatchOpenedAtMs = Double.NEGATIVE_INFINITY;
       maintainWatch();
@@ -263,32 +250,40 @@
       retryImmediately = true;
       watch(true);
     }
-    callsToOldAddress.forEach(call -> poll());
+    if (hasWaitingPoll) {
+      poll();
+    }
   }
 
-  /** Logs what a change of the address closes: the age of each call, and how long it was silent. */
-  private void logCallsGivenUp() {
-    if (watch != null) {
-      watch.logGivenUp("an answered watch");
+  /** Carries out what {@link ListCalls} decides. */
+  private final class CallListener implements ListCalls.Listener {
+    @Override
+    public void close(ListCall call) {
+      Call connection = connections.remove(call);
+      if (call.endpoint != calls.current()) {
+        connection.logClosed();
+      }
+      connection.close();
+    }
+
+    @Override
+    public void apply(HostList.Update update) {
+      onUpdate.accept(update);
     }
-    pendingWatches.forEach(call -> call.logGivenUp("a waiting watch"));
-    calls.forEach(call -> call.logGivenUp("a poll"));
   }
 
-  /** A watch or a poll: its connection and the state of its response. */
+  /** The connection of a watch or a poll, and the state of its response. */
   private final class Call extends ChannelInboundHandlerAdapter {
-    private final boolean isWatch;
+    private final ListCall call;
     private Channel channel;
     private ScheduledFuture<?> check;
     private HostListReader reader;
     private boolean isValid;
-    private boolean listComplete;
     private boolean closed;
-    private final double openedAtMs = clock.nowMs();
-    private double lastDataAtMs = openedAtMs;
+    private double lastDataAtMs = clock.nowMs();
 
-    Call(boolean isWatch) {
-      this.isWatch = isWatch;
+    Call(ListCall call) {
+      this.call = call;
       ChannelFuture connecting =
           bootstrap
               .clone()
@@ -300,9 +295,9 @@
                       ch.pipeline().addLast(new HttpClientCodec(), Call.this);
                     }
                   })
-              .connect(transport.connectAddress().apply(address));
+              .connect(transport.connectAddress().apply(call.endpoint.address()));
       channel = connecting.channel();
-      if (!pushed || !isWatch) {
+      if (!pushed || !call.isWatch) {
         check =
             loop.scheduleWithFixedDelay(
                 this::checkTimeouts, CHECK_INTERVAL_MS, CHECK_INTERVAL_MS, TimeUnit.MILLISECONDS);
@@ -320,9 +315,10 @@
         loop.execute(() -> fail("cannot connect", timedOut));
         return;
       }
-      String path = "/v1/servers" + (isWatch ? "?watch=1&from=" + version : "");
+      String path = "/v1/servers" + (call.isWatch ? "?watch=1&from=" + call.from : "");
       DefaultFullHttpRequest request =
           new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, path);
+      InetSocketAddress address = call.endpoint.address();
       request
           .headers()
           .set(HttpHeaderNames.HOST, address.getHostString() + ":" + address.getPort());
@@ -344,14 +340,7 @@
         }
         if (isValid && message instanceof HttpContent content) {
           byte[] bytes = ByteBufUtil.getBytes(content.content());
-          List<HostList.Update> updates = reader.feed(bytes);
-          boolean lineEnded = bytes.length > 0 && bytes[bytes.length - 1] == '\n';
-          if (!updates.isEmpty() || (lineEnded && reader.isBetweenLines())) {
-            dataReceived();
-          }
-          for (HostList.Update update : updates) {
-            applyUpdate(update);
-          }
+          onData(reader.feed(bytes), bytes.length > 0 && bytes[bytes.length - 1] == '\n');
           isValid = content.decoderResult().isSuccess();
         }
         if (!isValid) {
@@ -366,41 +355,49 @@
       }
     }
 
-    /** Called for a complete line or a complete entry of one; other bytes do not count as data. */
-    private void dataReceived() {
-      lastDataAtMs = clock.nowMs();
-      if (pendingWatches.remove(this)) {
-        closePendingWatches();
-        closeWatch();
-        watch = this;
+    /** Handles complete lines and entries; other bytes do not count as data. */
+    private void onData(List<HostList.Update> updates, boolean lineEnded) {
+      boolean isEmptyLine = updates.isEmpty() && lineEnded && reader.isBetweenLines();
+      if (isEmptyLine) {
+        lastDataAtMs = clock.nowMs();
+        calls.onEmptyLine(call, lastDataAtMs);
+      }
+      for (HostList.Update update : updates) {
+        if (closed) {
+          return;
+        }
+        lastDataAtMs = clock.nowMs();
+        calls.onUpdate(call, update, lastDataAtMs);
+      }
+      if (calls.isCurrentActive()) {
         retryImmediately = false;
       }
-    }
-
-    private void applyUpdate(HostList.Update update) {
-      if (update.version() >= 0) {
-        version = update.version();
-        listComplete = true;
+      if (calls.needsCompleteList()) {
+        watch(true);
       }
-      onUpdate.accept(update);
     }
 
     /** Detects a peer that was partitioned: its connection stays open but receives no data. */
     private void checkTimeouts() {
       double now = clock.nowMs();
-      if (watch == this) {
-        if (now - lastDataAtMs > WATCH_TIMEOUT_MS) {
-          fail("unresponsive", true);
-        }
-      } else if (!isWatch) {
-        if (now - lastDataAtMs > (listComplete ? WATCH_TIMEOUT_MS : FIRST_BYTES_TIMEOUT_MS)) {
-          fail("unresponsive", true);
-        }
-      } else if (pendingWatches.peekLast() == this && now - lastWatchOpenedAtMs > HEDGE_DELAY_MS) {
+      if (now - lastDataAtMs > silenceLimitMs()) {
+        fail("unresponsive", true);
+      } else if (calls.isNewestWaitingWatch(call)
+          && now - lastWatchOpenedAtMs > HEDGE_DELAY_MS
+          && !calls.isReceivingFirstLine(now, WATCH_TIMEOUT_MS)) {
         openWatch(MAX_PENDING_ON_REQUEST);
       }
     }
 
+    /** A watch that waits at the current address is hedged instead. */
+    private double silenceLimitMs() {
+      if (call.isWaitingWatchAt(calls.current())) {
+        return Double.POSITIVE_INFINITY;
+      }
+      boolean hasData = call.state != ListCall.State.WAITING || call.version >= 0;
+      return hasData ? WATCH_TIMEOUT_MS : FIRST_BYTES_TIMEOUT_MS;
+    }
+
     @Override
     public void channelInactive(ChannelHandlerContext ctx) {
       fail("the connection was closed", false);
@@ -416,38 +413,47 @@
         return;
       }
       close();
-      boolean wasPending = pendingWatches.remove(this);
-      if (watch == this) {
-        watch = null;
-      }
-      if (isWatch ? pushed : listComplete) {
-        return;
+      connections.remove(call);
+      boolean wasWaiting = call.isWaitingWatchAt(calls.current());
+      boolean isExpected = call.isWatch ? pushed : call.version >= 0;
+      if (!isExpected) {
+        log.line("discovery: " + describe() + " failed: " + why);
       }
-      log.line("discovery: " + (isWatch ? "a watch" : "a poll") + " failed: " + why);
-      if (isWatch && !pendingWatches.isEmpty()) {
-        return; // A parallel watch may still be answered.
+      calls.onEnded(call);
+      boolean isAtFormerAddress = call.endpoint != calls.current();
+      if (isExpected || isAtFormerAddress || (call.isWatch && calls.hasWaitingWatch())) {
+        return; // Another call is open, or will be opened in time.
       }
-      if (isWatch && retryImmediately) {
+      if (call.isWatch && retryImmediately) {
         retryImmediately = false;
         watch(true);
       } else {
         onFailed.accept(unresponsive);
-        if (isWatch && wasPending) {
+        if (wasWaiting) {
           limitBackoff();
         }
       }
     }
 
-    private void logGivenUp(String kind) {
+    private String describe() {
+      return call.isWatch ? "a watch" : "a poll";
+    }
+
+    /** Logs a call that is closed while its peer keeps it open. */
+    private void logClosed() {
       double now = clock.nowMs();
       log.line(
-          "discovery: %s is given up after %.0f ms, its last data is %.0f ms old"
-              .formatted(kind, now - openedAtMs, now - lastDataAtMs));
+          "discovery: %s at %s, %s, is closed after %.0f ms, its last data is %.0f ms old"
+              .formatted(
+                  describe(),
+                  call.endpoint.address(),
+                  call.state,
+                  now - call.openedAtMs,
+                  now - lastDataAtMs));
     }
 
     private void close() {
       closed = true;
-      calls.remove(this);
       if (check != null) {
         check.cancel(false);
       }
--- /dev/null
+++ b/src/main/java/hazelspoke/discovery/ListCall.java
@@ -0,0 +1,56 @@
+package hazelspoke.discovery;
+
+import hazelspoke.core.HostList;
+
+/** What is known of one open call to discovery, a watch or a poll, without its connection. */
+final class ListCall {
+  /** How far a call has come. */
+  enum State {
+    /** No complete line was received yet. */
+    WAITING,
+
+    /** The watch whose changes are applied. */
+    ACTIVE,
+
+    /** An answered watch whose list is kept aside, for the case that the active one ends. */
+    STANDBY
+  }
+
+  final Endpoint endpoint;
+  final boolean isWatch;
+
+  /** The version after which discovery is asked for changes; 0 for the complete list. */
+  final long from;
+
+  /** Position among all calls and reports, in the order in which they happened. */
+  final long order;
+
+  final double openedAtMs;
+  State state = State.WAITING;
+
+  /** When an entry or a line was last received; the time of opening before that. */
+  double progressAtMs;
+
+  /** Version of the last complete line, or -1. */
+  long version = -1;
+
+  /** The list of a standby. */
+  HostList.Update standbyList;
+
+  ListCall(Endpoint endpoint, boolean isWatch, long from, long order, double openedAtMs) {
+    this.endpoint = endpoint;
+    this.isWatch = isWatch;
+    this.from = from;
+    this.order = order;
+    this.openedAtMs = openedAtMs;
+    progressAtMs = openedAtMs;
+  }
+
+  boolean isWaitingWatchAt(Endpoint other) {
+    return isWatch && state == State.WAITING && endpoint == other;
+  }
+
+  boolean hasProgress() {
+    return progressAtMs > openedAtMs;
+  }
+}
--- /dev/null
+++ b/src/main/java/hazelspoke/discovery/ListCalls.java
@@ -0,0 +1,296 @@
+package hazelspoke.discovery;
+
+import hazelspoke.core.HostLimit;
+import hazelspoke.core.HostList;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.function.Predicate;
+import java.util.stream.IntStream;
+
+/**
+ * Decides which calls to discovery stay open, and which of their updates are applied, while its
+ * address may change at any moment. Without sockets or timers.
+ *
+ * <p>A change of the address closes nothing: a former address goes on delivering changes until it
+ * closes its connections, and a call that waits there may be the next one to be answered. A call is
+ * closed once a call at the same or a newer endpoint has delivered a complete line, or for want of
+ * room ({@link #MAX_WAITING}) when others were opened shortly before and after it. The most recent
+ * endpoint that has delivered a line has priority. An answer from a former address is not applied
+ * while a watch at the configured address is active, but is kept until that one ends.
+ */
+final class ListCalls {
+  /** Limit of calls at all endpoints beside the active watch. */
+  static final int MAX_WAITING = 6;
+
+  /** Carries out what was decided. */
+  interface Listener {
+    /** Closes the connection of a call, which is no longer part of this set. */
+    void close(ListCall call);
+
+    void apply(HostList.Update update);
+  }
+
+  private final Listener listener;
+  private final List<ListCall> calls = new ArrayList<>();
+  private final ReportedHosts reported = new ReportedHosts();
+  private Endpoint current;
+  private long order;
+  private ListCall active;
+
+  /** The endpoint whose list is in use, and the version of that list. */
+  private Endpoint listEndpoint;
+
+  private long listVersion;
+
+  /** Whether reports contradicted one another, so that a complete list has to decide. */
+  private boolean needsCompleteList;
+
+  /** Calls that were opened later than this deliver the list that decides. */
+  private long contradictionOrder;
+
+  ListCalls(InetSocketAddress address, long version, Listener listener) {
+    this.listener = listener;
+    current = new Endpoint(address, 0);
+    listEndpoint = current;
+    listVersion = version;
+  }
+
+  Endpoint current() {
+    return current;
+  }
+
+  ListCall active() {
+    return active;
+  }
+
+  /** Whether the active watch is one at the current endpoint. */
+  boolean isCurrentActive() {
+    return active != null && active.endpoint == current;
+  }
+
+  void moveTo(InetSocketAddress address) {
+    current = new Endpoint(address, current.generation() + 1);
+  }
+
+  /** Whether a complete list has to be asked for, as calls contradicted one another. */
+  boolean needsCompleteList() {
+    return needsCompleteList;
+  }
+
+  /** Whether nothing is open at the current endpoint from which its list would be received. */
+  boolean needsWatch() {
+    return !hasWaitingWatch() && (!isCurrentActive() || needsCompleteList);
+  }
+
+  boolean hasWaitingWatch() {
+    return contains(call -> call.isWaitingWatchAt(current));
+  }
+
+  boolean hasWaitingPoll() {
+    return contains(call -> !call.isWatch && call.endpoint == current);
+  }
+
+  private boolean contains(Predicate<ListCall> condition) {
+    return calls.stream().anyMatch(condition);
+  }
+
+  /** Whether a watch at the current endpoint is receiving its first line. */
+  boolean isReceivingFirstLine(double nowMs, double timeoutMs) {
+    return contains(
+        call ->
+            call.isWaitingWatchAt(current)
+                && call.hasProgress()
+                && nowMs - call.progressAtMs <= timeoutMs);
+  }
+
+  /** Whether a call is the last that was opened of those that wait at the current endpoint. */
+  boolean isNewestWaitingWatch(ListCall call) {
+    return call.isWaitingWatchAt(current)
+        && !contains(other -> other.isWaitingWatchAt(current) && other.order > call.order);
+  }
+
+  /** Adds a watch at the current endpoint, of which at most {@code maxWaiting} wait. */
+  ListCall openWatch(double nowMs, int maxWaiting) {
+    List<ListCall> waiting = calls.stream().filter(call -> call.isWaitingWatchAt(current)).toList();
+    if (waiting.size() >= maxWaiting) {
+      close(waiting.get(0));
+    }
+    return open(true, nowMs);
+  }
+
+  ListCall openPoll(double nowMs) {
+    return open(false, nowMs);
+  }
+
+  private ListCall open(boolean isWatch, double nowMs) {
+    makeRoom();
+    boolean isListInUse = current == listEndpoint && !needsCompleteList;
+    ListCall call = new ListCall(current, isWatch, isListInUse ? listVersion : 0, ++order, nowMs);
+    calls.add(call);
+    return call;
+  }
+
+  /**
+   * Closes a call at a former endpoint if there are too many. The oldest is the next one to be
+   * answered and stays; of the others the one that has the least time between its neighbours goes,
+   * as the next one replaces it with the least delay.
+   */
+  private void makeRoom() {
+    List<ListCall> waiting = calls.stream().filter(call -> call != active).toList();
+    if (waiting.size() < MAX_WAITING) {
+      return;
+    }
+    IntStream.range(1, waiting.size())
+        .filter(i -> waiting.get(i).endpoint != current)
+        .boxed()
+        .min(Comparator.comparingDouble(i -> gapWithoutMs(waiting, i)))
+        .ifPresentOrElse(i -> close(waiting.get(i)), () -> close(waiting.get(0)));
+  }
+
+  /** The time between the neighbours of a call; without a limit if none follows. */
+  private static double gapWithoutMs(List<ListCall> waiting, int index) {
+    boolean isLast = index == waiting.size() - 1;
+    return isLast
+        ? Double.POSITIVE_INFINITY
+        : waiting.get(index + 1).openedAtMs - waiting.get(index - 1).openedAtMs;
+  }
+
+  /** Handles an update; one with a negative version is part of a line that is not complete. */
+  void onUpdate(ListCall call, HostList.Update update, double nowMs) {
+    call.progressAtMs = nowMs;
+    if (call.state == ListCall.State.STANDBY || isOutranked(call)) {
+      keepAside(call, update);
+      return;
+    }
+    boolean isLine = update.version() >= 0;
+    if (isLine && call.isWatch && call.state == ListCall.State.WAITING) {
+      activate(call);
+    }
+    apply(call, update);
+  }
+
+  /** Handles an empty line: nothing has changed since the version that was asked for. */
+  void onEmptyLine(ListCall call, double nowMs) {
+    call.progressAtMs = nowMs;
+    boolean isListInUse = call.endpoint == listEndpoint && !needsCompleteList;
+    if (call.isWatch && call.state == ListCall.State.WAITING && isListInUse && !isOutranked(call)) {
+      activate(call);
+    }
+  }
+
+  /** Whether a call asked an address that is no longer configured, while the one that is speaks. */
+  private boolean isOutranked(ListCall call) {
+    return active != null
+        && active != call
+        && active.endpoint.hasAddressOf(current)
+        && !call.endpoint.hasAddressOf(current);
+  }
+
+  private void activate(ListCall call) {
+    if (active != null) {
+      close(active);
+    }
+    active = call;
+    call.state = ListCall.State.ACTIVE;
+    listEndpoint = call.endpoint;
+    if (call.order > contradictionOrder) {
+      needsCompleteList = false;
+    }
+    long generation = call.endpoint.generation();
+    closeAll(
+        other ->
+            other.endpoint.generation() < generation
+                || (other.isWatch && other != call && other.endpoint == call.endpoint));
+  }
+
+  private void apply(ListCall call, HostList.Update update) {
+    boolean isLine = update.version() >= 0;
+    if (isLine && !needsCompleteList && reported.contradict(call, update)) {
+      needsCompleteList = true;
+      contradictionOrder = order;
+    }
+    HostList.Update reconciled = reported.reconcile(call, update);
+    if (isLine) {
+      call.version = update.version();
+      if (call.endpoint == listEndpoint) {
+        listVersion = update.version();
+      }
+    }
+    if (needsCompleteList || contains(other -> isWaitingBeside(other, call))) {
+      reported.record(call, reconciled, ++order);
+    } else {
+      reported.clear();
+    }
+    listener.apply(reconciled);
+  }
+
+  private static boolean isWaitingBeside(ListCall other, ListCall call) {
+    return other != call && other.state != ListCall.State.ACTIVE;
+  }
+
+  /** Keeps the list of a watch that is not applied, or closes the call if it is of no use. */
+  private void keepAside(ListCall call, HostList.Update update) {
+    if (call.state == ListCall.State.WAITING) {
+      if (update.version() < 0) {
+        return;
+      }
+      if (!call.isWatch || !update.complete()) {
+        close(call);
+        return;
+      }
+      closeAll(other -> other.state == ListCall.State.STANDBY);
+      call.state = ListCall.State.STANDBY;
+      call.standbyList = update;
+    } else {
+      call.standbyList = call.standbyList.changedBy(update);
+    }
+    if (update.version() >= 0) {
+      call.version = update.version();
+    }
+    if (call.standbyList.hosts().size() > HostLimit.MAX_HOSTS) {
+      close(call);
+    }
+  }
+
+  /** Handles the end of a call that was not closed by this set. */
+  void onEnded(ListCall call) {
+    calls.remove(call);
+    if (call == active) {
+      active = null;
+      calls.stream()
+          .filter(other -> other.state == ListCall.State.STANDBY)
+          .max(Comparator.comparingLong(other -> other.order))
+          .ifPresent(this::useStandby);
+    }
+  }
+
+  private void useStandby(ListCall standby) {
+    HostList.Update list = new HostList.Update(true, standby.version, standby.standbyList.hosts());
+    standby.standbyList = null;
+    activate(standby);
+    apply(standby, list);
+  }
+
+  /** Closes the watches that wait. */
+  void closeWaitingWatches() {
+    closeAll(call -> call.isWatch && call != active);
+  }
+
+  void closeWatches() {
+    closeAll(call -> call.isWatch);
+  }
+
+  private void closeAll(Predicate<ListCall> condition) {
+    calls.stream().filter(condition).toList().forEach(this::close);
+  }
+
+  private void close(ListCall call) {
+    calls.remove(call);
+    if (call == active) {
+      active = null;
+    }
+    listener.close(call);
+  }
+}
--- /dev/null
+++ b/src/test/java/hazelspoke/node/ManualDiscovery.java
@@ -0,0 +1,91 @@
+package hazelspoke.node;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.net.SocketException;
+import java.net.SocketTimeoutException;
+import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
+
+/** One address of discovery, whose calls a test accepts and answers one by one. */
+final class ManualDiscovery implements AutoCloseable {
+  private static final String HEAD = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+
+  private final ServerSocket listener = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
+  private final List<Call> calls = new CopyOnWriteArrayList<>();
+
+  ManualDiscovery() throws IOException {
+    listener.setSoTimeout(Rig.PATIENCE_MS);
+  }
+
+  String address() {
+    return "127.0.0.1:" + listener.getLocalPort();
+  }
+
+  /** Accepts the next call and reads its head. */
+  Call accept() throws IOException {
+    Call call = new Call(listener.accept());
+    calls.add(call);
+    return call;
+  }
+
+  /** Whether a call waits to be accepted, for a moment at most. */
+  void refuseCalls() throws Exception {
+    listener.close();
+    Rig.await("connections are refused", () -> FakeServer.refuses(address()));
+  }
+
+  @Override
+  public void close() throws IOException {
+    listener.close();
+    for (Call call : calls) {
+      call.socket.close();
+    }
+  }
+
+  /** An accepted call. */
+  static final class Call {
+    final String head;
+    private final Socket socket;
+    private boolean isAnswered;
+
+    private Call(Socket socket) throws IOException {
+      this.socket = socket;
+      socket.setSoTimeout(Rig.PATIENCE_MS);
+      head = FakeServer.head(socket.getInputStream());
+    }
+
+    /** Sends one line. */
+    void send(String line) throws IOException {
+      sendPiece(line + "\n");
+    }
+
+    /** Sends a chunk, which may be part of a line. */
+    void sendPiece(String text) throws IOException {
+      String chunk = Integer.toHexString(text.length()) + "\r\n" + text + "\r\n";
+      Rig.send(socket, isAnswered ? chunk : HEAD + chunk);
+      isAnswered = true;
+    }
+
+    void reset() throws IOException {
+      socket.setSoLinger(true, 0);
+      socket.close();
+    }
+
+    /** Whether the gateway keeps the call open. */
+    boolean isOpen() {
+      try {
+        socket.setSoTimeout(1);
+        return socket.getInputStream().read() >= 0;
+      } catch (SocketTimeoutException e) {
+        return true;
+      } catch (SocketException e) {
+        return false;
+      } catch (IOException e) {
+        throw new java.io.UncheckedIOException(e);
+      }
+    }
+  }
+}
--- a/src/test/java/hazelspoke/node/Rig.java
+++ b/src/test/java/hazelspoke/node/Rig.java
@@ -248,6 +248,11 @@
     }
   }
 
+  /** The monotonic clock, in milliseconds. */
+  static double nowMs() {
+    return System.nanoTime() / 1e6;
+  }
+
   static void await(String what, BooleanSupplier condition) throws InterruptedException {
     long end = System.nanoTime() + PATIENCE_MS * 1_000_000L;
     while (!condition.getAsBoolean()) {
