--- a/src/main/java/hazelspoke/node/Gateway.java
+++ b/src/main/java/hazelspoke/node/Gateway.java
@@ -123,8 +123,8 @@
   /** How long to wait for an agent's first list; changed by tests. */
   long firstListTimeoutMs = FIRST_LIST_TIMEOUT_MS;
 
-  /** Whether a list of hosts is in use, from an agent or the configuration; event loop only. */
-  private boolean hasHostList;
+  /** Event loop only. */
+  private InitialHostList initialHostList;
 
   /** Whether a shutdown has begun; event loop only. */
   private boolean isShuttingDown;
@@ -422,6 +422,7 @@
             hosts,
             sharedIds == null ? RequestIds.ofOneProcess(System::nanoTime) : sharedIds,
             management == null ? Meter.NONE : management.meter());
+    initialHostList = new InitialHostList(config.known());
     boolean pushed = config.settings().discovery() == Settings.Discovery.PUSHED;
     // The warm-up has no discovery agent.
     boolean awaitsAgentList = pushed && transport == Transport.TCP;
@@ -440,7 +441,7 @@
         new LcStarBalancer(config.settings(), config.seed(), clock.nowMs(), dispatcher);
     dispatcher.start(balancer, discovery);
     if (awaitsAgentList) {
-      loop.schedule(this::useConfiguredList, firstListTimeoutMs, TimeUnit.MILLISECONDS);
+      awaitFirstList();
     } else {
       useConfiguredList();
     }
@@ -491,22 +492,35 @@
         .start(loop);
   }
 
-  /** The first update may be a delta, which then applies to the configured list. */
   private void onList(HostList.Update update) {
-    HostList.Update effective = hasHostList ? update : config.known().changedBy(update);
-    hasHostList = true;
-    dispatcher.onMembers(
-        effective.complete() ? MembersUpdate.Kind.FULL : MembersUpdate.Kind.DELTA, effective);
+    initialHostList
+        .onUpdate(update)
+        .ifPresent(
+            list ->
+                dispatcher.onMembers(
+                    list.complete() ? MembersUpdate.Kind.FULL : MembersUpdate.Kind.DELTA, list));
+  }
+
+  private void awaitFirstList() {
+    loop.schedule(
+        () -> {
+          if (initialHostList.extendTimeout()) {
+            awaitFirstList();
+          } else {
+            useConfiguredList();
+          }
+        },
+        firstListTimeoutMs,
+        TimeUnit.MILLISECONDS);
   }
 
   /**
    * Uses the configured list until discovery responds; requests are held while no host is known.
    */
   private void useConfiguredList() {
-    if (!hasHostList) {
-      hasHostList = true;
-      dispatcher.onMembers(MembersUpdate.Kind.CACHED, config.known());
-    }
+    initialHostList
+        .useConfigured()
+        .ifPresent(list -> dispatcher.onMembers(MembersUpdate.Kind.CACHED, list));
   }
 
   /**
--- a/src/test/java/hazelspoke/node/InitialHostListTest.java
+++ b/src/test/java/hazelspoke/node/InitialHostListTest.java
@@ -4,6 +4,7 @@
 
 import hazelspoke.net.Transport;
 import java.io.ByteArrayOutputStream;
+import java.io.OutputStream;
 import java.io.PrintStream;
 import java.net.InetSocketAddress;
 import java.net.Socket;
@@ -20,9 +21,15 @@
 
 /** A gateway starts with an old configured list while an agent pushes a newer one. */
 class InitialHostListTest {
+  /** What the agent does after its first piece. */
+  private interface Continuation {
+    void accept(OutputStream out) throws Exception;
+  }
+
   private final ByteArrayOutputStream log = new ByteArrayOutputStream();
   private final CountDownLatch agentResponds = new CountDownLatch(1);
   private volatile String agentList;
+  private volatile Continuation afterList = out -> {};
   private FakeServer oldHost;
   private FakeServer newHost;
   private FakeServer agent;
@@ -37,7 +44,10 @@
         new FakeServer(
             (head, out) -> {
               Rig.awaitLatch(agentResponds);
-              return FakeServer.respond(out, chunked(agentList));
+              FakeServer.respond(out, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+              FakeServer.respond(out, chunk(agentList));
+              afterList.accept(out);
+              return true;
             });
     file = Files.createTempFile("gateway", ".json");
     Files.writeString(
@@ -50,12 +60,8 @@
     gateway.maxDeadlineMs = Rig.PATIENCE_MS;
   }
 
-  private static String chunked(String list) {
-    return "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
-        + Integer.toHexString(list.length() + 1)
-        + "\r\n"
-        + list
-        + "\n\r\n";
+  private static String chunk(String text) {
+    return Integer.toHexString(text.length() + 1) + "\r\n" + text + "\n\r\n";
   }
 
   @AfterEach
@@ -100,6 +106,37 @@
     }
   }
 
+  /** Guards against hosts of the configured list that are used while the agent's is arriving. */
+  @Test
+  void holdsRequestUntilListInPiecesIsComplete() throws Exception {
+    CountDownLatch rest = new CountDownLatch(1);
+    String list =
+        Rig.list(
+            2,
+            true,
+            Rig.entry(newHost.address(), "Ready"),
+            Rig.entry("127.0.0.1:1", "Terminating"));
+    agentList = list.substring(0, list.lastIndexOf(",{"));
+    afterList =
+        out -> {
+          Rig.awaitLatch(rest);
+          FakeServer.respond(out, chunk(list.substring(agentList.length())));
+        };
+    gateway.firstListTimeoutMs = Rig.PATIENCE_MS;
+    agentResponds.countDown();
+    try (Socket client = startAndSendRequest()) {
+      Rig.await("a call to the agent", () -> agent.heads.size() > 0);
+      for (int i = 0; i < 200; i++) {
+        gateway.loop.schedule(() -> {}, 1, TimeUnit.MILLISECONDS).sync();
+      }
+      assertThat(oldHost.heads).isEmpty();
+      assertThat(newHost.heads).isEmpty();
+      rest.countDown();
+      assertThat(Rig.receive(client)).contains(" 200 ").endsWith("new");
+      assertThat(oldHost.heads).isEmpty();
+    }
+  }
+
   /** Without changes since the configured list, that list is used at once. */
   @Test
   void usesConfiguredListIfAgentHasNoChanges() throws Exception {
