--- a/src/main/java/hazelspoke/discovery/ListCalls.java
+++ b/src/main/java/hazelspoke/discovery/ListCalls.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import java.util.function.Predicate;
 import java.util.stream.IntStream;
+import ternscale.api.HostEntry;
 
 /**
  * Decides which calls to discovery stay open, and which of their updates are applied, while its
@@ -161,6 +162,7 @@
   void onUpdate(ListCall call, HostList.Update update, double nowMs) {
     call.progressAtMs = nowMs;
     if (call.state == ListCall.State.STANDBY || isOutranked(call)) {
+      applyDrains(call, update);
       keepAside(call, update);
       return;
     }
@@ -218,7 +220,7 @@
         listVersion = update.version();
       }
     }
-    if (needsCompleteList || contains(other -> isWaitingBeside(other, call))) {
+    if (needsCompleteList || contains(other -> other.state != ListCall.State.ACTIVE)) {
       reported.record(call, reconciled, ++order);
     } else {
       reported.clear();
@@ -226,8 +228,23 @@
     listener.apply(reconciled);
   }
 
-  private static boolean isWaitingBeside(ListCall other, ListCall call) {
-    return other != call && other.state != ListCall.State.ACTIVE;
+  /**
+   * Applies what a call that is kept aside reports as draining or gone, until a list of the
+   * configured address decides: where both addresses are one service, that is known now.
+   */
+  private void applyDrains(ListCall call, HostList.Update update) {
+    List<HostList.Listed> drains =
+        update.hosts().stream()
+            .filter(host -> host.entry().availability() != HostEntry.Availability.UP)
+            .toList();
+    HostList.Update drained =
+        reported.reconcile(call, new HostList.Update(false, update.version(), drains));
+    if (!drained.hosts().isEmpty()) {
+      needsCompleteList = true;
+      contradictionOrder = order;
+      reported.record(call, drained, ++order);
+      listener.apply(drained);
+    }
   }
 
   /** Keeps the list of a watch that is not applied, or closes the call if it is of no use. */
--- a/src/main/java/hazelspoke/discovery/ReportedHosts.java
+++ b/src/main/java/hazelspoke/discovery/ReportedHosts.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import ternscale.api.HostEntry;
 import ternscale.api.HostEntry.Availability;
 
 /**
@@ -18,7 +19,7 @@
  * and a complete list that is asked for afterwards decides.
  */
 final class ReportedHosts {
-  /** Version of an entry whose line is not complete, and whose call has completed none. */
+  /** Version of an entry whose line is not complete. */
   private static final long UNKNOWN_VERSION = Long.MAX_VALUE;
 
   private record Report(HostList.Listed host, long version, long order, ListCall source) {}
@@ -35,31 +36,54 @@
 
   /** Keeps an update that was applied, as delivered by a call. */
   void record(ListCall source, HostList.Update update, long order) {
-    long version = versionOf(source, update, UNKNOWN_VERSION);
+    long version = update.version() >= 0 ? update.version() : UNKNOWN_VERSION;
     update.hosts().forEach(host -> record(new Report(host, version, order, source)));
     if (update.complete()) {
-      Set<String> names = new HashSet<>();
-      update.hosts().forEach(host -> names.add(host.entry().host()));
-      boolean isOlder = isOlderThanCompleteList(source, version);
-      lastCompleteList =
-          isOlder
-              ? new CompleteList(names, lastCompleteList.version, order, lastCompleteList.source)
-              : new CompleteList(names, version, order, source);
+      recordList(source, update, version, order);
     }
   }
 
+  private void recordList(ListCall source, HostList.Update update, long version, long order) {
+    Set<String> names = new HashSet<>();
+    update.hosts().forEach(host -> names.add(host.entry().host()));
+    reports.values().removeIf(report -> isSettledByOmission(report, names, source, version));
+    boolean isOlder = isOlderThanCompleteList(source, version);
+    lastCompleteList =
+        isOlder
+            ? new CompleteList(names, lastCompleteList.version, order, lastCompleteList.source)
+            : new CompleteList(names, version, order, source);
+  }
+
+  /** Whether a list that omits a host says all that there is to say of it. */
+  private static boolean isSettledByOmission(
+      Report report, Set<String> names, ListCall source, long version) {
+    HostEntry entry = report.host.entry();
+    boolean isNewer = isNewer(report.source, report.order, report.version, source, version);
+    return !names.contains(entry.host()) && (entry.availability() == Availability.UP || !isNewer);
+  }
+
   private void record(Report report) {
-    String name = report.host.entry().host();
-    Report known = reports.get(name);
-    if (known == null && reports.size() == HostLimit.MAX_HOSTS) {
-      return;
+    HostEntry entry = report.host.entry();
+    Report known = reports.get(entry.host());
+    boolean hasRoom = known != null || reports.size() < HostLimit.MAX_HOSTS;
+    // What is up by a line that may never be completed protects nothing.
+    boolean isUseful = report.version != UNKNOWN_VERSION || entry.availability() != Availability.UP;
+    if (hasRoom && isUseful) {
+      reports.put(entry.host(), known == null ? report : merge(known, report));
+    }
+  }
+
+  /**
+   * Merges reports of which the next one has the older version and was reconciled with the other.
+   */
+  private static Report merge(Report known, Report next) {
+    long leastVersion = next.version == UNKNOWN_VERSION ? -1 : next.version;
+    if (!isNewer(known.source, known.order, known.version, next.source, leastVersion)) {
+      return next;
     }
-    boolean isOlder =
-        known != null
-            && isNewer(known.source, known.order, known.version, report.source, report.version);
-    reports.put(
-        name,
-        isOlder ? new Report(report.host, known.version, report.order, known.source) : report);
+    return next.host.equals(known.host)
+        ? new Report(known.host, known.version, next.order, known.source)
+        : new Report(next.host, Math.max(known.version, next.version), next.order, next.source);
   }
 
   /** Whether a newer version than that of a line was reported while its call was open. */
@@ -77,7 +101,8 @@
     if (reports.isEmpty() && lastCompleteList == null) {
       return update;
     }
-    long version = versionOf(call, update, -1);
+    // An entry of a line that is not complete has at least the version after the last line's.
+    long version = update.version() >= 0 ? update.version() : call.version + 1;
     List<HostList.Listed> hosts = new ArrayList<>();
     for (HostList.Listed host : update.hosts()) {
       HostList.Listed reconciled = reconcile(call, version, host);
@@ -91,10 +116,8 @@
 
   private HostList.Listed reconcile(ListCall call, long version, HostList.Listed host) {
     Report report = reports.get(host.entry().host());
-    if (report != null) {
-      return isNewer(report.source, report.order, report.version, call, version)
-          ? moreCautious(report.host, host)
-          : host;
+    if (report != null && isNewer(report.source, report.order, report.version, call, version)) {
+      return moreCautious(report.host, host);
     }
     boolean isUnlisted =
         isOlderThanCompleteList(call, version)
@@ -124,12 +147,4 @@
   private static boolean isGone(HostList.Listed host) {
     return host.entry().availability() == Availability.GONE;
   }
-
-  /** The version of an update; the least one possible of an entry whose line is not complete. */
-  private static long versionOf(ListCall call, HostList.Update update, long unknown) {
-    if (update.version() >= 0) {
-      return update.version();
-    }
-    return call.version >= 0 ? call.version + 1 : unknown;
-  }
 }
