--- a/src/test/java/hazelspoke/discovery/ListCallsModelTest.java
+++ b/src/test/java/hazelspoke/discovery/ListCallsModelTest.java
@@ -168,7 +168,10 @@
     private void cut(ListCall call) {
       note("cut", call);
       open.remove(call);
+      boolean hasStandby =
+          open.keySet().stream().anyMatch(other -> other.state == ListCall.State.STANDBY);
       calls.onEnded(call);
+      assertThat(hasStandby && calls.active() == null).as("a standby that is not used").isFalse();
     }
 
     private void deliverPart(ListCall call) {
