--- a/src/main/java/hazelspoke/discovery/ListCall.java
+++ b/src/main/java/hazelspoke/discovery/ListCall.java
@@ -1,6 +1,8 @@
 package hazelspoke.discovery;
 
 import hazelspoke.core.HostList;
+import java.util.ArrayList;
+import java.util.List;
 
 /** What is known of one open call to discovery, a watch or a poll, without its connection. */
 final class ListCall {
@@ -34,9 +36,12 @@
   /** Version of the last complete line, or -1. */
   long version = -1;
 
-  /** The list of a standby. */
+  /** The list of a standby after its last complete line. */
   HostList.Update standbyList;
 
+  /** What was received of the next line of a standby. */
+  final List<HostList.Listed> standbyPart = new ArrayList<>();
+
   ListCall(Endpoint endpoint, boolean isWatch, long from, long order, double openedAtMs) {
     this.endpoint = endpoint;
     this.isWatch = isWatch;
--- a/src/main/java/hazelspoke/discovery/ListCalls.java
+++ b/src/main/java/hazelspoke/discovery/ListCalls.java
@@ -220,11 +220,7 @@
         listVersion = update.version();
       }
     }
-    if (needsCompleteList || contains(other -> other.state != ListCall.State.ACTIVE)) {
-      reported.record(call, reconciled, ++order);
-    } else {
-      reported.clear();
-    }
+    record(call, update);
     listener.apply(reconciled);
   }
 
@@ -237,34 +233,55 @@
         update.hosts().stream()
             .filter(host -> host.entry().availability() != HostEntry.Availability.UP)
             .toList();
-    HostList.Update drained =
-        reported.reconcile(call, new HostList.Update(false, update.version(), drains));
-    if (!drained.hosts().isEmpty()) {
+    HostList.Update drained = new HostList.Update(false, update.version(), drains);
+    if (!drains.isEmpty()) {
       needsCompleteList = true;
       contradictionOrder = order;
-      reported.record(call, drained, ++order);
-      listener.apply(drained);
+      HostList.Update reconciled = reported.reconcile(call, drained);
+      record(call, drained);
+      listener.apply(reconciled);
     }
   }
 
+  /** Keeps an update for as long as another open call may contradict it. */
+  private void record(ListCall call, HostList.Update update) {
+    boolean isOnlyCall = calls.size() == 1 && call == active;
+    if (isOnlyCall && !needsCompleteList) {
+      reported.clear();
+      return;
+    }
+    reported.record(call, update, ++order);
+    calls.stream().mapToLong(open -> open.order).min().ifPresent(reported::forgetBefore);
+  }
+
   /** Keeps the list of a watch that is not applied, or closes the call if it is of no use. */
   private void keepAside(ListCall call, HostList.Update update) {
-    if (call.state == ListCall.State.WAITING) {
-      if (update.version() < 0) {
-        return;
-      }
-      if (!call.isWatch || !update.complete()) {
-        close(call);
-        return;
-      }
-      closeAll(other -> other.state == ListCall.State.STANDBY);
-      call.state = ListCall.State.STANDBY;
-      call.standbyList = update;
-    } else {
-      call.standbyList = call.standbyList.changedBy(update);
+    boolean isLine = update.version() >= 0;
+    if (call.state == ListCall.State.STANDBY) {
+      extendStandby(call, update, isLine);
+    } else if (isLine) {
+      makeStandby(call, update);
     }
-    if (update.version() >= 0) {
+  }
+
+  private void makeStandby(ListCall call, HostList.Update list) {
+    if (!call.isWatch || !list.complete()) {
+      close(call);
+      return;
+    }
+    closeAll(other -> other.state == ListCall.State.STANDBY);
+    call.state = ListCall.State.STANDBY;
+    call.standbyList = list;
+    call.version = list.version();
+  }
+
+  private void extendStandby(ListCall call, HostList.Update update, boolean isLine) {
+    if (isLine) {
+      call.standbyList = call.standbyList.changedBy(update);
+      call.standbyPart.clear();
       call.version = update.version();
+    } else {
+      call.standbyPart.addAll(update.hosts());
     }
     if (call.standbyList.hosts().size() > HostLimit.MAX_HOSTS) {
       close(call);
@@ -284,10 +301,13 @@
   }
 
   private void useStandby(ListCall standby) {
-    HostList.Update list = new HostList.Update(true, standby.version, standby.standbyList.hosts());
-    standby.standbyList = null;
     activate(standby);
-    apply(standby, list);
+    apply(standby, standby.standbyList);
+    if (!standby.standbyPart.isEmpty()) {
+      apply(standby, new HostList.Update(false, -1, List.copyOf(standby.standbyPart)));
+    }
+    standby.standbyList = null;
+    standby.standbyPart.clear();
   }
 
   /** Closes the watches that wait. */
--- a/src/main/java/hazelspoke/discovery/ReportedHosts.java
+++ b/src/main/java/hazelspoke/discovery/ReportedHosts.java
@@ -4,101 +4,96 @@
 import hazelspoke.core.HostList;
 import java.util.ArrayList;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
-import ternscale.api.HostEntry;
+import java.util.stream.Collectors;
 import ternscale.api.HostEntry.Availability;
 
 /**
- * What was reported of hosts while several calls to discovery were open. A call may deliver a list
- * that is older than a report which another call, opened later or slower to answer, has already
- * delivered. Versions order the two if both come from one service, and mean nothing otherwise. So
- * where an older version arrives after a newer one, a host is used only if both report it as up,
- * and a complete list that is asked for afterwards decides.
+ * What each of several open calls reported of hosts. A call may deliver a list that is older than a
+ * report which another call, opened later or slower to answer, has already delivered. Versions
+ * order the two if both come from one service, and mean nothing otherwise. So where an older
+ * version arrives after a newer one, a host is used only if both report it as up, and a complete
+ * list that is asked for afterwards decides.
  */
 final class ReportedHosts {
   /** Version of an entry whose line is not complete. */
   private static final long UNKNOWN_VERSION = Long.MAX_VALUE;
 
-  private record Report(HostList.Listed host, long version, long order, ListCall source) {}
+  /** Limit of the entries kept of all calls. */
+  private static final int MAX_REPORTS = 2 * HostLimit.MAX_HOSTS;
 
-  private record CompleteList(Set<String> hosts, long version, long order, ListCall source) {}
-
-  private final Map<String, Report> reports = new HashMap<>();
-  private CompleteList lastCompleteList;
-
-  void clear() {
-    reports.clear();
-    lastCompleteList = null;
+  /** An entry as a call delivered it, and its position among all calls and reports. */
+  private record Report(HostList.Listed host, long version, long order) {
+    private boolean isNewerThan(ListCall call, long callVersion) {
+      return order > call.order && version > callVersion;
+    }
   }
 
-  /** Keeps an update that was applied, as delivered by a call. */
-  void record(ListCall source, HostList.Update update, long order) {
-    long version = update.version() >= 0 ? update.version() : UNKNOWN_VERSION;
-    update.hosts().forEach(host -> record(new Report(host, version, order, source)));
-    if (update.complete()) {
-      recordList(source, update, version, order);
+  /** The hosts of the last complete list of a call. */
+  private record CompleteList(Set<String> hosts, long version, long order) {
+    private boolean isNewerThan(ListCall call, long callVersion) {
+      return order > call.order && version > callVersion;
     }
   }
 
-  private void recordList(ListCall source, HostList.Update update, long version, long order) {
-    Set<String> names = new HashSet<>();
-    update.hosts().forEach(host -> names.add(host.entry().host()));
-    reports.values().removeIf(report -> isSettledByOmission(report, names, source, version));
-    boolean isOlder = isOlderThanCompleteList(source, version);
-    lastCompleteList =
-        isOlder
-            ? new CompleteList(names, lastCompleteList.version, order, lastCompleteList.source)
-            : new CompleteList(names, version, order, source);
+  /** All that one call reported. */
+  private static final class Source {
+    private final Map<String, Report> reports = new HashMap<>();
+    private CompleteList completeList;
+    private long lastVersion;
+    private long lastOrder;
+
+    /** Whether this call lists all hosts, by a list that is newer than a version, but not one. */
+    private boolean omits(String host, ListCall call, long version) {
+      return completeList != null
+          && completeList.isNewerThan(call, version)
+          && !completeList.hosts.contains(host)
+          && !reports.containsKey(host);
+    }
   }
 
-  /** Whether a list that omits a host says all that there is to say of it. */
-  private static boolean isSettledByOmission(
-      Report report, Set<String> names, ListCall source, long version) {
-    HostEntry entry = report.host.entry();
-    boolean isNewer = isNewer(report.source, report.order, report.version, source, version);
-    return !names.contains(entry.host()) && (entry.availability() == Availability.UP || !isNewer);
+  private final Map<ListCall, Source> sources = new HashMap<>();
+
+  void clear() {
+    sources.clear();
   }
 
-  private void record(Report report) {
-    HostEntry entry = report.host.entry();
-    Report known = reports.get(entry.host());
-    boolean hasRoom = known != null || reports.size() < HostLimit.MAX_HOSTS;
-    // What is up by a line that may never be completed protects nothing.
-    boolean isUseful = report.version != UNKNOWN_VERSION || entry.availability() != Availability.UP;
-    if (hasRoom && isUseful) {
-      reports.put(entry.host(), known == null ? report : merge(known, report));
-    }
+  /** Forgets the calls whose reports are all older than the oldest open call. */
+  void forgetBefore(long oldestOpenOrder) {
+    sources.values().removeIf(source -> source.lastOrder <= oldestOpenOrder);
   }
 
-  /**
-   * Merges reports of which the next one has the older version and was reconciled with the other.
-   */
-  private static Report merge(Report known, Report next) {
-    long leastVersion = next.version == UNKNOWN_VERSION ? -1 : next.version;
-    if (!isNewer(known.source, known.order, known.version, next.source, leastVersion)) {
-      return next;
+  /** Keeps an update as a call delivered it. */
+  void record(ListCall call, HostList.Update update, long order) {
+    Source source = sources.computeIfAbsent(call, added -> new Source());
+    long version = update.version() >= 0 ? update.version() : UNKNOWN_VERSION;
+    source.lastVersion = version;
+    source.lastOrder = order;
+    if (update.complete()) {
+      source.reports.clear();
+      Set<String> names =
+          update.hosts().stream().map(host -> host.entry().host()).collect(Collectors.toSet());
+      source.completeList = new CompleteList(names, version, order);
     }
-    return next.host.equals(known.host)
-        ? new Report(known.host, known.version, next.order, known.source)
-        : new Report(next.host, Math.max(known.version, next.version), next.order, next.source);
+    int room = MAX_REPORTS - sources.values().stream().mapToInt(s -> s.reports.size()).sum();
+    update.hosts().stream()
+        .limit(Math.max(0, room))
+        .forEach(host -> source.reports.put(host.entry().host(), new Report(host, version, order)));
   }
 
   /** Whether a newer version than that of a line was reported while its call was open. */
   boolean contradict(ListCall call, HostList.Update line) {
-    for (Report report : reports.values()) {
-      if (isNewer(report.source, report.order, report.version, call, line.version())) {
-        return true;
-      }
-    }
-    return isOlderThanCompleteList(call, line.version());
+    return sources.entrySet().stream()
+        .filter(entry -> entry.getKey() != call)
+        .map(Map.Entry::getValue)
+        .anyMatch(source -> source.lastOrder > call.order && source.lastVersion > line.version());
   }
 
   /** Returns an update without what newer reports of other calls forbid to use. */
   HostList.Update reconcile(ListCall call, HostList.Update update) {
-    if (reports.isEmpty() && lastCompleteList == null) {
+    if (sources.isEmpty()) {
       return update;
     }
     // An entry of a line that is not complete has at least the version after the last line's.
@@ -106,7 +101,8 @@
     List<HostList.Listed> hosts = new ArrayList<>();
     for (HostList.Listed host : update.hosts()) {
       HostList.Listed reconciled = reconcile(call, version, host);
-      boolean isOmitted = isGone(reconciled) && update.complete();
+      boolean isOmitted =
+          update.complete() && reconciled.entry().availability() == Availability.GONE;
       if (!isOmitted) {
         hosts.add(reconciled);
       }
@@ -115,16 +111,25 @@
   }
 
   private HostList.Listed reconcile(ListCall call, long version, HostList.Listed host) {
-    Report report = reports.get(host.entry().host());
-    if (report != null && isNewer(report.source, report.order, report.version, call, version)) {
-      return moreCautious(report.host, host);
+    String name = host.entry().host();
+    HostList.Listed result = host;
+    for (Map.Entry<ListCall, Source> entry : sources.entrySet()) {
+      if (entry.getKey() == call) {
+        continue;
+      }
+      Source source = entry.getValue();
+      Report report = source.reports.get(name);
+      if (report != null && report.isNewerThan(call, version)) {
+        result = moreCautious(report.host, result);
+      } else if (source.omits(name, call, version)) {
+        result = withAvailability(result, Availability.GONE);
+      }
     }
-    boolean isUnlisted =
-        isOlderThanCompleteList(call, version)
-            && !lastCompleteList.hosts.contains(host.entry().host());
-    return isUnlisted
-        ? new HostList.Listed(host.entry().withAvailability(Availability.GONE), host.address())
-        : host;
+    return result;
+  }
+
+  private static HostList.Listed withAvailability(HostList.Listed host, Availability next) {
+    return new HostList.Listed(host.entry().withAvailability(next), host.address());
   }
 
   /** Of two entries of a host, the one that allows less; the newer one of two that are up. */
@@ -133,18 +138,4 @@
         older.entry().availability().compareTo(newer.entry().availability()) > 0;
     return isOlderMoreCautious ? older : newer;
   }
-
-  private boolean isOlderThanCompleteList(ListCall call, long version) {
-    CompleteList list = lastCompleteList;
-    return list != null && isNewer(list.source, list.order, list.version, call, version);
-  }
-
-  private static boolean isNewer(
-      ListCall source, long order, long reportedVersion, ListCall call, long version) {
-    return source != call && order > call.order && reportedVersion > version;
-  }
-
-  private static boolean isGone(HostList.Listed host) {
-    return host.entry().availability() == Availability.GONE;
-  }
 }
