--- a/src/main/java/hazelspoke/discovery/ListCalls.java
+++ b/src/main/java/hazelspoke/discovery/ListCalls.java
@@ -209,11 +209,12 @@
 
   private void apply(ListCall call, HostList.Update update) {
     boolean isLine = update.version() >= 0;
-    if (isLine && !needsCompleteList && reported.contradict(call, update)) {
-      needsCompleteList = true;
-      contradictionOrder = order;
-    }
     HostList.Update reconciled = reported.reconcile(call, update);
+    boolean isDoubtful =
+        !reconciled.equals(update) || (update.complete() && reported.contradict(call, update));
+    if (isLine && isDoubtful && !needsCompleteList) {
+      requireCompleteList();
+    }
     if (isLine) {
       call.version = update.version();
       if (call.endpoint == listEndpoint) {
@@ -235,14 +236,18 @@
             .toList();
     HostList.Update drained = new HostList.Update(false, update.version(), drains);
     if (!drains.isEmpty()) {
-      needsCompleteList = true;
-      contradictionOrder = order;
+      requireCompleteList();
       HostList.Update reconciled = reported.reconcile(call, drained);
       record(call, drained);
       listener.apply(reconciled);
     }
   }
 
+  private void requireCompleteList() {
+    needsCompleteList = true;
+    contradictionOrder = order;
+  }
+
   /** Keeps an update for as long as another open call may contradict it. */
   private void record(ListCall call, HostList.Update update) {
     boolean isOnlyCall = calls.size() == 1 && call == active;
--- a/src/main/java/hazelspoke/discovery/ReportedHosts.java
+++ b/src/main/java/hazelspoke/discovery/ReportedHosts.java
@@ -102,7 +102,9 @@
     for (HostList.Listed host : update.hosts()) {
       HostList.Listed reconciled = reconcile(call, version, host);
       boolean isOmitted =
-          update.complete() && reconciled.entry().availability() == Availability.GONE;
+          update.complete()
+              && reconciled != host
+              && reconciled.entry().availability() == Availability.GONE;
       if (!isOmitted) {
         hosts.add(reconciled);
       }
--- a/src/test/java/hazelspoke/node/DiscoveryTimeoutsTest.java
+++ b/src/test/java/hazelspoke/node/DiscoveryTimeoutsTest.java
@@ -9,12 +9,7 @@
 import hazelspoke.net.DescriptorAccount;
 import hazelspoke.net.Transport;
 import java.io.PrintStream;
-import java.net.InetAddress;
 import java.net.InetSocketAddress;
-import java.net.ServerSocket;
-import java.net.Socket;
-import java.net.SocketException;
-import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.UnaryOperator;
@@ -31,7 +26,6 @@
   private static final String READY = "Ready";
   private static final Names NO_NAMES =
       new Names(List.of(), List.of(), List.of(), List.of(), List.of());
-  private static final String HEAD = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
   private static final UnaryOperator<String> ON_REQUEST =
       config ->
           config
@@ -40,82 +34,50 @@
 
   private final FakeServer host =
       new FakeServer((head, out) -> FakeServer.respond(out, FakeServer.ok("done")));
-  private final ServerSocket listener = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
+  private final ManualDiscovery discovery = new ManualDiscovery();
   private final FakeServer initialDiscovery = Rig.discovery(Rig.list(1));
   private final Rig rig = new Rig(160, initialDiscovery, ON_REQUEST);
-  private final List<Socket> calls = new ArrayList<>();
   private final AtomicInteger failures = new AtomicInteger();
   private final AtomicInteger updates = new AtomicInteger();
 
-  DiscoveryTimeoutsTest() throws Exception {
-    listener.setSoTimeout(Rig.PATIENCE_MS);
-  }
+  DiscoveryTimeoutsTest() throws Exception {}
 
   @AfterEach
   void close() throws Exception {
     rig.close();
-    for (Socket call : calls) {
-      call.close();
-    }
-    listener.close();
+    discovery.close();
     initialDiscovery.close();
     host.close();
   }
 
   /**
-   * Moves discovery to the listener. A reload calls at once, but the first call after a start would
-   * take minutes.
+   * Moves discovery to the address of the test. A reload calls at once, but the first call after a
+   * start would take minutes.
    */
   private void moveDiscovery() throws Exception {
-    rig.configure(ON_REQUEST.apply(rig.config(160, "127.0.0.1:" + listener.getLocalPort())));
+    rig.configure(ON_REQUEST.apply(rig.config(160, discovery.address())));
     rig.gateway.reload(rig.environment);
   }
 
-  /** Accepts the next call and reads its head. */
-  private Socket acceptCall() throws Exception {
-    Socket call = listener.accept();
-    calls.add(call);
-    call.setSoTimeout(Rig.PATIENCE_MS);
-    assertThat(FakeServer.head(call.getInputStream())).contains("watch=1&from=");
+  private ManualDiscovery.Call acceptWatch() throws Exception {
+    ManualDiscovery.Call call = discovery.accept();
+    assertThat(call.head).contains("watch=1&from=");
     return call;
   }
 
-  private void sendList(Socket call, String list) throws Exception {
-    Rig.send(call, HEAD + Integer.toHexString(list.length() + 1) + "\r\n" + list + "\n\r\n");
-  }
-
-  private void sendListAndAwaitHost(Socket call, int hosts) throws Exception {
-    sendList(call, Rig.list(hosts, true, Rig.entry(host.address(), READY)));
+  private void sendListAndAwaitHost(ManualDiscovery.Call call, int hosts) throws Exception {
+    call.send(Rig.list(hosts, true, Rig.entry(host.address(), READY)));
     Rig.await("the list", () -> rig.metric("known_hosts") == 1);
   }
 
-  private static void resetOnClose(Socket call) throws SocketException {
-    call.setSoLinger(true, 0);
-  }
-
-  /** Whether the gateway keeps this call open; its head was already read. */
-  private static boolean isOpen(Socket call) throws Exception {
-    call.setSoTimeout(1);
-    try {
-      return call.getInputStream().read() >= 0;
-    } catch (java.net.SocketTimeoutException e) {
-      return true;
-    } catch (SocketException e) {
-      return false;
-    } finally {
-      call.setSoTimeout(Rig.PATIENCE_MS);
-    }
-  }
-
   @Test
   void retriesAfterRepeatedResets() throws Exception {
     moveDiscovery();
     for (int i = 0; i < 6; i++) {
-      Socket call = acceptCall();
-      resetOnClose(call);
-      call.close();
+      ManualDiscovery.Call call = acceptWatch();
+      call.reset();
     }
-    sendListAndAwaitHost(acceptCall(), 1);
+    sendListAndAwaitHost(acceptWatch(), 1);
   }
 
   /**
@@ -124,13 +86,11 @@
   @Test
   void retriesFirstFailureAfterMoveWithoutBackoff() throws Exception {
     moveClientWithoutBalancer();
-    Socket first = acceptCall();
-    resetOnClose(first);
-    first.close();
-    Socket second = acceptCall();
+    ManualDiscovery.Call first = acceptWatch();
+    first.reset();
+    ManualDiscovery.Call second = acceptWatch();
     assertThat(failures).hasValue(0);
-    resetOnClose(second);
-    second.close();
+    second.reset();
     Rig.await("the second failure is left to the balancer", () -> failures.get() == 1);
   }
 
@@ -138,18 +98,15 @@
   @Test
   void makesThirdCallAfterTwoFailuresWithoutBalancer() throws Exception {
     moveClientWithoutBalancer();
-    Socket first = acceptCall();
-    resetOnClose(first);
-    first.close();
+    ManualDiscovery.Call first = acceptWatch();
+    first.reset();
     for (int i = 1; i <= 2; i++) {
       int expectedFailures = i;
-      try (Socket call = acceptCall()) {
-        Rig.send(call, "HTTP/1.1 503 no\r\nContent-Length: 0\r\n\r\n");
-        Rig.await(
-            "the failure is reported to the balancer", () -> failures.get() == expectedFailures);
-      }
+      acceptWatch().reject();
+      Rig.await(
+          "the failure is reported to the balancer", () -> failures.get() == expectedFailures);
     }
-    sendList(acceptCall(), Rig.list(1, true));
+    acceptWatch().send(Rig.list(1, true));
     Rig.await("the list", () -> updates.get() == 1);
   }
 
@@ -169,7 +126,7 @@
             new Log(new PrintStream(rig.log, true), new Clock()),
             update -> updates.incrementAndGet(),
             unresponsive -> failures.incrementAndGet());
-    InetSocketAddress address = new InetSocketAddress("127.0.0.1", listener.getLocalPort());
+    InetSocketAddress address = discovery.socketAddress();
     rig.gateway.loop.submit(() -> client.moveTo(address)).sync();
   }
 
@@ -177,28 +134,20 @@
   void retriesAfterRepeatedRejections() throws Exception {
     moveDiscovery();
     for (int i = 0; i < 6; i++) {
-      try (Socket call = acceptCall()) {
-        Rig.send(call, "HTTP/1.1 503 no\r\nContent-Length: 0\r\n\r\n");
-      }
+      acceptWatch().reject();
     }
-    sendListAndAwaitHost(acceptCall(), 1);
+    sendListAndAwaitHost(acceptWatch(), 1);
   }
 
   @Test
   void retriesRefusedConnections() throws Exception {
-    int port = listener.getLocalPort();
-    listener.close();
-    Rig.await("connections are refused", () -> FakeServer.refuses("127.0.0.1:" + port));
+    discovery.refuseCalls();
     moveDiscovery();
     Rig.await(
         "refused calls",
         () -> rig.log.toString().lines().filter(l -> l.contains("a watch failed")).count() >= 5);
-    try (ServerSocket reopened = new ServerSocket(port, 50, InetAddress.getLoopbackAddress())) {
-      Socket call = reopened.accept();
-      calls.add(call);
-      FakeServer.head(call.getInputStream());
-      sendListAndAwaitHost(call, 1);
-    }
+    discovery.reopen();
+    sendListAndAwaitHost(acceptWatch(), 1);
   }
 
   /** Each watch that ends without any data is a failure. */
@@ -206,10 +155,10 @@
   void retriesWatchesThatEndWithoutData() throws Exception {
     moveDiscovery();
     for (int i = 0; i < 6; i++) {
-      Socket call = acceptCall();
-      Rig.send(call, HEAD + "0\r\n\r\n");
+      ManualDiscovery.Call call = acceptWatch();
+      call.end();
     }
-    sendListAndAwaitHost(acceptCall(), 1);
+    sendListAndAwaitHost(acceptWatch(), 1);
   }
 
   /** A watch that received a list and an empty line ends where a change would follow. */
@@ -217,12 +166,13 @@
   void reopensWatchesThatEndAfterTheirList() throws Exception {
     moveDiscovery();
     for (int i = 1; i <= 4; i++) {
-      Socket call = acceptCall();
+      ManualDiscovery.Call call = acceptWatch();
       sendListAndAwaitHost(call, i);
-      Rig.send(call, "1\r\n\n\r\n0\r\n\r\n");
+      call.send("");
+      call.end();
     }
     // A complete list removes the hosts that it omits.
-    sendList(acceptCall(), Rig.list(5, true));
+    acceptWatch().send(Rig.list(5, true));
     Rig.await("an empty list", () -> rig.metric("known_hosts") == 0);
   }
 
@@ -230,34 +180,34 @@
   @Test
   void hedgesUnresponsiveFirstCall() throws Exception {
     moveDiscovery();
-    Socket unresponsive = acceptCall();
-    Socket hedge = acceptCall();
-    assertThat(isOpen(unresponsive)).isTrue();
+    ManualDiscovery.Call unresponsive = acceptWatch();
+    ManualDiscovery.Call hedge = acceptWatch();
+    assertThat(unresponsive.isOpen()).isTrue();
     assertThat(rig.log.toString()).doesNotContain("a watch failed");
     sendListAndAwaitHost(hedge, 1);
-    Rig.await("the unresponsive call is closed", () -> !isOpenUnchecked(unresponsive));
+    Rig.await("the unresponsive call is closed", () -> !unresponsive.isOpen());
   }
 
   /** The first of two parallel calls may be answered as well. */
   @Test
   void usesLateAnswerOfFirstCall() throws Exception {
     moveDiscovery();
-    Socket late = acceptCall();
-    Socket hedge = acceptCall();
+    ManualDiscovery.Call late = acceptWatch();
+    ManualDiscovery.Call hedge = acceptWatch();
     sendListAndAwaitHost(late, 1);
-    Rig.await("the parallel call is closed", () -> !isOpenUnchecked(hedge));
+    Rig.await("the parallel call is closed", () -> !hedge.isOpen());
   }
 
   /** At most two calls wait in parallel, however long discovery is unresponsive. */
   @Test
   void limitsParallelCallsToTwo() throws Exception {
     moveDiscovery();
-    Socket first = acceptCall();
-    Socket second = acceptCall();
-    Socket third = acceptCall();
-    Rig.await("the first call is closed", () -> !isOpenUnchecked(first));
-    assertThat(isOpen(second)).isTrue();
-    assertThat(isOpen(third)).isTrue();
+    ManualDiscovery.Call first = acceptWatch();
+    ManualDiscovery.Call second = acceptWatch();
+    ManualDiscovery.Call third = acceptWatch();
+    Rig.await("the first call is closed", () -> !first.isOpen());
+    assertThat(second.isOpen()).isTrue();
+    assertThat(third.isOpen()).isTrue();
     sendListAndAwaitHost(second, 1);
   }
 
@@ -267,32 +217,22 @@
   @Test
   void keepsFirstCallOpenIfHedgeIsRejected() throws Exception {
     moveDiscovery();
-    Socket unresponsive = acceptCall();
-    try (Socket hedge = acceptCall()) {
-      Rig.send(hedge, "HTTP/1.1 503 no\r\nContent-Length: 0\r\n\r\n");
-      Socket third = acceptCall();
-      assertThat(isOpen(unresponsive)).isTrue();
-      sendListAndAwaitHost(third, 1);
-    }
-  }
-
-  private static boolean isOpenUnchecked(Socket call) {
-    try {
-      return isOpen(call);
-    } catch (Exception e) {
-      return false;
-    }
+    ManualDiscovery.Call unresponsive = acceptWatch();
+    acceptWatch().reject();
+    ManualDiscovery.Call third = acceptWatch();
+    assertThat(unresponsive.isOpen()).isTrue();
+    sendListAndAwaitHost(third, 1);
   }
 
   /** A watch becomes unresponsive after its list and is replaced. */
   @Test
   void replacesUnresponsiveWatch() throws Exception {
     moveDiscovery();
-    Socket watch = acceptCall();
+    ManualDiscovery.Call watch = acceptWatch();
     sendListAndAwaitHost(watch, 1);
-    Socket replacement = acceptCall();
-    sendList(replacement, Rig.list(2, true));
+    ManualDiscovery.Call replacement = acceptWatch();
+    replacement.send(Rig.list(2, true));
     Rig.await("an empty list", () -> rig.metric("known_hosts") == 0);
-    assertThat(isOpen(watch)).isFalse();
+    assertThat(watch.isOpen()).isFalse();
   }
 }
--- a/src/test/java/hazelspoke/node/ManualDiscovery.java
+++ b/src/test/java/hazelspoke/node/ManualDiscovery.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.net.InetAddress;
+import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.net.SocketException;
@@ -13,7 +14,7 @@
 final class ManualDiscovery implements AutoCloseable {
   private static final String HEAD = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
 
-  private final ServerSocket listener = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
+  private ServerSocket listener = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
   private final List<Call> calls = new CopyOnWriteArrayList<>();
 
   ManualDiscovery() throws IOException {
@@ -24,6 +25,10 @@
     return "127.0.0.1:" + listener.getLocalPort();
   }
 
+  InetSocketAddress socketAddress() {
+    return new InetSocketAddress("127.0.0.1", listener.getLocalPort());
+  }
+
   /** Accepts the next call and reads its head. */
   Call accept() throws IOException {
     Call call = new Call(listener.accept());
@@ -31,10 +36,17 @@
     return call;
   }
 
-  /** Whether a call waits to be accepted, for a moment at most. */
+  /** Closes the listener, so that further calls are refused. */
   void refuseCalls() throws Exception {
+    int port = listener.getLocalPort();
     listener.close();
-    Rig.await("connections are refused", () -> FakeServer.refuses(address()));
+    Rig.await("connections are refused", () -> FakeServer.refuses("127.0.0.1:" + port));
+  }
+
+  /** Accepts calls again at the same port. */
+  void reopen() throws IOException {
+    listener = new ServerSocket(listener.getLocalPort(), 50, InetAddress.getLoopbackAddress());
+    listener.setSoTimeout(Rig.PATIENCE_MS);
   }
 
   @Override
@@ -69,6 +81,15 @@
       isAnswered = true;
     }
 
+    /** Sends the last chunk. */
+    void end() throws IOException {
+      Rig.send(socket, isAnswered ? "0\r\n\r\n" : HEAD + "0\r\n\r\n");
+    }
+
+    void reject() throws IOException {
+      Rig.send(socket, "HTTP/1.1 503 no\r\nContent-Length: 0\r\n\r\n");
+    }
+
     void reset() throws IOException {
       socket.setSoLinger(true, 0);
       socket.close();
