--- a/src/main/java/hazelspoke/discovery/DiscoveryClient.java
+++ b/src/main/java/hazelspoke/discovery/DiscoveryClient.java
@@ -360,7 +360,7 @@
       boolean isEmptyLine = updates.isEmpty() && lineEnded && reader.isBetweenLines();
       if (isEmptyLine) {
         lastDataAtMs = clock.nowMs();
-        calls.onEmptyLine(call, lastDataAtMs);
+        calls.onEmptyLine(call);
       }
       for (HostList.Update update : updates) {
         if (closed) {
--- a/src/main/java/hazelspoke/discovery/ListCall.java
+++ b/src/main/java/hazelspoke/discovery/ListCall.java
@@ -30,7 +30,7 @@
   final double openedAtMs;
   State state = State.WAITING;
 
-  /** When an entry or a line was last received; the time of opening before that. */
+  /** When an entry was last received; the time of opening before that. */
   double progressAtMs;
 
   /** Version of the last complete line, or -1. */
--- a/src/main/java/hazelspoke/discovery/ListCalls.java
+++ b/src/main/java/hazelspoke/discovery/ListCalls.java
@@ -174,8 +174,7 @@
   }
 
   /** Handles an empty line: nothing has changed since the version that was asked for. */
-  void onEmptyLine(ListCall call, double nowMs) {
-    call.progressAtMs = nowMs;
+  void onEmptyLine(ListCall call) {
     boolean isListInUse = call.endpoint == listEndpoint && !needsCompleteList;
     if (call.isWatch && call.state == ListCall.State.WAITING && isListInUse && !isOutranked(call)) {
       activate(call);
