--- a/src/test/java/hazelspoke/node/DiscoveryMovesTest.java
+++ b/src/test/java/hazelspoke/node/DiscoveryMovesTest.java
@@ -143,7 +143,10 @@
     awaitDrained();
   }
 
-  /** An older list of the new address arrives after a newer report of the old one. */
+  /**
+   * An older list of the new address arrives after a newer report of the old one. The list that
+   * decides has a lower version still, as of another service.
+   */
   @Test
   void keepsReportedDrainAgainstOlderListUntilNextListDecides() throws Exception {
     ManualDiscovery.Call watch = startWithWatch(false);
@@ -155,7 +158,7 @@
     ManualDiscovery.Call deciding = next.accept();
     assertThat(deciding.head).contains("from=0 ");
     awaitDrained();
-    deciding.send(list(43, READY));
+    deciding.send(list(7, READY));
     awaitNotDrained();
   }
 
