--- a/src/main/java/hazelspoke/discovery/DiscoveryClient.java
+++ b/src/main/java/hazelspoke/discovery/DiscoveryClient.java
@@ -62,12 +62,6 @@
    */
   private static final double WATCH_TIMEOUT_MS = 2_500;
 
-  /**
-   * Limit for the first bytes of the response to a poll, or to a watch at a former address,
-   * including its wait in discovery's queue.
-   */
-  private static final double FIRST_BYTES_TIMEOUT_MS = 3_000;
-
   /**
    * A watch waits in discovery's queue for at most 2 s. A watch without data after this delay is
    * hedged by a second one, which is still answered within the 4 s allowed after SIGHUP; few calls
@@ -395,7 +389,7 @@
         return Double.POSITIVE_INFINITY;
       }
       boolean hasData = call.state != ListCall.State.WAITING || call.version >= 0;
-      return hasData ? WATCH_TIMEOUT_MS : FIRST_BYTES_TIMEOUT_MS;
+      return hasData ? WATCH_TIMEOUT_MS : ListCall.ANSWER_TIMEOUT_MS;
     }
 
     @Override
--- a/src/main/java/hazelspoke/discovery/ListCall.java
+++ b/src/main/java/hazelspoke/discovery/ListCall.java
@@ -6,6 +6,9 @@
 
 /** What is known of one open call to discovery, a watch or a poll, without its connection. */
 final class ListCall {
+  /** Time for an answer: up to 1 s to connect, and up to 2 s in discovery's queue. */
+  static final double ANSWER_TIMEOUT_MS = 3_000;
+
   /** How far a call has come. */
   enum State {
     /** No complete line was received yet. */
--- a/src/main/java/hazelspoke/discovery/ListCalls.java
+++ b/src/main/java/hazelspoke/discovery/ListCalls.java
@@ -6,8 +6,8 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.List;
+import java.util.Optional;
 import java.util.function.Predicate;
-import java.util.stream.IntStream;
 import ternscale.api.HostEntry;
 
 /**
@@ -116,7 +116,7 @@
   ListCall openWatch(double nowMs, int maxWaiting) {
     List<ListCall> waiting = calls.stream().filter(call -> call.isWaitingWatchAt(current)).toList();
     if (waiting.size() >= maxWaiting) {
-      close(waiting.get(0));
+      closeLeastNeeded(waiting, waiting, nowMs);
     }
     return open(true, nowMs);
   }
@@ -126,36 +126,45 @@
   }
 
   private ListCall open(boolean isWatch, double nowMs) {
-    makeRoom();
+    makeRoom(nowMs);
     boolean isListInUse = current == listEndpoint && !needsCompleteList;
     ListCall call = new ListCall(current, isWatch, isListInUse ? listVersion : 0, ++order, nowMs);
     calls.add(call);
     return call;
   }
 
+  /** Closes a call at a former endpoint if there are too many. */
+  private void makeRoom(double nowMs) {
+    List<ListCall> waiting = calls.stream().filter(call -> call != active).toList();
+    if (waiting.size() >= MAX_WAITING) {
+      List<ListCall> former = waiting.stream().filter(call -> call.endpoint != current).toList();
+      closeLeastNeeded(former, waiting, nowMs);
+    }
+  }
+
   /**
-   * Closes a call at a former endpoint if there are too many. The oldest is the next one to be
-   * answered and stays; of the others the one that has the least time between its neighbours goes,
-   * as the next one replaces it with the least delay.
+   * Closes one of some calls. The oldest is the next one to be answered and stays until its time is
+   * over; of the others the one that has the least time between its neighbours goes, as the next
+   * one replaces it with the least delay.
    */
-  private void makeRoom() {
-    List<ListCall> waiting = calls.stream().filter(call -> call != active).toList();
-    if (waiting.size() < MAX_WAITING) {
+  private void closeLeastNeeded(List<ListCall> candidates, List<ListCall> waiting, double nowMs) {
+    if (candidates.isEmpty()) {
       return;
     }
-    IntStream.range(1, waiting.size())
-        .filter(i -> waiting.get(i).endpoint != current)
-        .boxed()
-        .min(Comparator.comparingDouble(i -> gapWithoutMs(waiting, i)))
-        .ifPresentOrElse(i -> close(waiting.get(i)), () -> close(waiting.get(0)));
-  }
-
-  /** The time between the neighbours of a call; without a limit if none follows. */
-  private static double gapWithoutMs(List<ListCall> waiting, int index) {
-    boolean isLast = index == waiting.size() - 1;
-    return isLast
-        ? Double.POSITIVE_INFINITY
-        : waiting.get(index + 1).openedAtMs - waiting.get(index - 1).openedAtMs;
+    ListCall oldest = candidates.get(0);
+    boolean isOverdue = nowMs - oldest.openedAtMs > ListCall.ANSWER_TIMEOUT_MS;
+    Optional<ListCall> other =
+        candidates.stream()
+            .skip(1)
+            .min(Comparator.comparingDouble(call -> gapWithoutMs(call, waiting, nowMs)));
+    close(isOverdue ? oldest : other.orElse(oldest));
+  }
+
+  /** The time between the calls opened before and after a call; the next one is opened now. */
+  private static double gapWithoutMs(ListCall call, List<ListCall> waiting, double nowMs) {
+    int index = waiting.indexOf(call);
+    double nextMs = index + 1 < waiting.size() ? waiting.get(index + 1).openedAtMs : nowMs;
+    return nextMs - waiting.get(index - 1).openedAtMs;
   }
 
   /** Handles an update; one with a negative version is part of a line that is not complete. */
--- a/src/test/java/hazelspoke/node/DiscoveryMovesTest.java
+++ b/src/test/java/hazelspoke/node/DiscoveryMovesTest.java
@@ -162,6 +162,19 @@
     awaitNotDrained();
   }
 
+  /** Guards against a slow agent whose calls are all closed before it answers. */
+  @Test
+  void hearsSlowAgentWhileFurtherWatchesAreOpened() throws Exception {
+    startWithWatch(true).reset();
+    ManualDiscovery agent = moveTo(newAddress());
+    ManualDiscovery.Call first = agent.accept();
+    for (int i = 0; i < 7; i++) {
+      agent.accept();
+    }
+    first.send(list(41, TERMINATING));
+    awaitDrained();
+  }
+
   /** However many moves follow one another, few calls wait; the oldest and the last are kept. */
   @Test
   void limitsCallsThatWaitAtFormerAddresses() throws Exception {
--- a/src/test/java/hazelspoke/node/DiscoveryTimeoutsTest.java
+++ b/src/test/java/hazelspoke/node/DiscoveryTimeoutsTest.java
@@ -168,8 +168,7 @@
     for (int i = 1; i <= 4; i++) {
       ManualDiscovery.Call call = acceptWatch();
       sendListAndAwaitHost(call, i);
-      call.send("");
-      call.end();
+      call.endAfterEmptyLine();
     }
     // A complete list removes the hosts that it omits.
     acceptWatch().send(Rig.list(5, true));
--- a/src/test/java/hazelspoke/node/ManualDiscovery.java
+++ b/src/test/java/hazelspoke/node/ManualDiscovery.java
@@ -86,6 +86,11 @@
       Rig.send(socket, isAnswered ? "0\r\n\r\n" : HEAD + "0\r\n\r\n");
     }
 
+    /** Sends an empty line and the last chunk in one write. */
+    void endAfterEmptyLine() throws IOException {
+      Rig.send(socket, "1\r\n\n\r\n0\r\n\r\n");
+    }
+
     void reject() throws IOException {
       Rig.send(socket, "HTTP/1.1 503 no\r\nContent-Length: 0\r\n\r\n");
     }
