--- a/src/main/java/hazelspoke/discovery/ListCalls.java
+++ b/src/main/java/hazelspoke/discovery/ListCalls.java
@@ -48,7 +48,7 @@
   /** Whether reports contradicted one another, so that a complete list has to decide. */
   private boolean needsCompleteList;
 
-  /** Calls that were opened later than this deliver the list that decides. */
+  /** Position of the contradiction; the list of a call that was opened later decides. */
   private long contradictionOrder;
 
   ListCalls(InetSocketAddress address, long version, Listener listener) {
@@ -71,6 +71,7 @@
     return active != null && active.endpoint == current;
   }
 
+  /** Makes another address the current one, also if it was configured before. */
   void moveTo(InetSocketAddress address) {
     current = new Endpoint(address, current.generation() + 1);
   }
@@ -106,7 +107,7 @@
                 && nowMs - call.progressAtMs <= timeoutMs);
   }
 
-  /** Whether a call is the last that was opened of those that wait at the current endpoint. */
+  /** Whether a call is the last opened one of the watches that wait at the current endpoint. */
   boolean isNewestWaitingWatch(ListCall call) {
     return call.isWaitingWatchAt(current)
         && !contains(other -> other.isWaitingWatchAt(current) && other.order > call.order);
@@ -190,7 +191,7 @@
     }
   }
 
-  /** Whether a call asked an address that is no longer configured, while the one that is speaks. */
+  /** Whether a call is at a former address while a watch at the configured one is active. */
   private boolean isOutranked(ListCall call) {
     return active != null
         && active != call
@@ -219,7 +220,7 @@
     boolean isLine = update.version() >= 0;
     HostList.Update reconciled = reported.reconcile(call, update);
     boolean isDoubtful =
-        !reconciled.equals(update) || (update.complete() && reported.contradict(call, update));
+        !reconciled.equals(update) || (update.complete() && reported.hasNewerReports(call, update));
     if (isLine && isDoubtful && !needsCompleteList) {
       requireCompleteList();
     }
--- a/src/main/java/hazelspoke/discovery/ReportedHosts.java
+++ b/src/main/java/hazelspoke/discovery/ReportedHosts.java
@@ -24,31 +24,29 @@
   /** Limit of the entries kept of all calls. */
   private static final int MAX_REPORTS = 2 * HostLimit.MAX_HOSTS;
 
-  /** An entry as a call delivered it, and its position among all calls and reports. */
-  private record Report(HostList.Listed host, long version, long order) {
+  /** The version of a report, and its position among all calls and reports. */
+  private record Position(long version, long order) {
     private boolean isNewerThan(ListCall call, long callVersion) {
       return order > call.order && version > callVersion;
     }
   }
 
+  /** An entry as a call delivered it. */
+  private record Report(HostList.Listed host, Position position) {}
+
   /** The hosts of the last complete list of a call. */
-  private record CompleteList(Set<String> hosts, long version, long order) {
-    private boolean isNewerThan(ListCall call, long callVersion) {
-      return order > call.order && version > callVersion;
-    }
-  }
+  private record CompleteList(Set<String> hosts, Position position) {}
 
   /** All that one call reported. */
   private static final class Source {
     private final Map<String, Report> reports = new HashMap<>();
     private CompleteList completeList;
-    private long lastVersion;
-    private long lastOrder;
+    private Position last;
 
-    /** Whether this call lists all hosts, by a list that is newer than a version, but not one. */
+    /** Whether this call sent a complete list of a newer version that does not contain a host. */
     private boolean omits(String host, ListCall call, long version) {
       return completeList != null
-          && completeList.isNewerThan(call, version)
+          && completeList.position.isNewerThan(call, version)
           && !completeList.hosts.contains(host)
           && !reports.containsKey(host);
     }
@@ -62,33 +60,33 @@
 
   /** Forgets the calls whose reports are all older than the oldest open call. */
   void forgetBefore(long oldestOpenOrder) {
-    sources.values().removeIf(source -> source.lastOrder <= oldestOpenOrder);
+    sources.values().removeIf(source -> source.last.order <= oldestOpenOrder);
   }
 
   /** Keeps an update as a call delivered it. */
   void record(ListCall call, HostList.Update update, long order) {
     Source source = sources.computeIfAbsent(call, added -> new Source());
     long version = update.version() >= 0 ? update.version() : UNKNOWN_VERSION;
-    source.lastVersion = version;
-    source.lastOrder = order;
+    Position position = new Position(version, order);
+    source.last = position;
     if (update.complete()) {
       source.reports.clear();
       Set<String> names =
           update.hosts().stream().map(host -> host.entry().host()).collect(Collectors.toSet());
-      source.completeList = new CompleteList(names, version, order);
+      source.completeList = new CompleteList(names, position);
     }
     int room = MAX_REPORTS - sources.values().stream().mapToInt(s -> s.reports.size()).sum();
     update.hosts().stream()
         .limit(Math.max(0, room))
-        .forEach(host -> source.reports.put(host.entry().host(), new Report(host, version, order)));
+        .forEach(host -> source.reports.put(host.entry().host(), new Report(host, position)));
   }
 
-  /** Whether a newer version than that of a line was reported while its call was open. */
-  boolean contradict(ListCall call, HostList.Update line) {
+  /** Whether another call reported a newer version than that of a line while its call was open. */
+  boolean hasNewerReports(ListCall call, HostList.Update line) {
     return sources.entrySet().stream()
         .filter(entry -> entry.getKey() != call)
         .map(Map.Entry::getValue)
-        .anyMatch(source -> source.lastOrder > call.order && source.lastVersion > line.version());
+        .anyMatch(source -> source.last.isNewerThan(call, line.version()));
   }
 
   /** Returns an update without what newer reports of other calls forbid to use. */
@@ -121,7 +119,7 @@
       }
       Source source = entry.getValue();
       Report report = source.reports.get(name);
-      if (report != null && report.isNewerThan(call, version)) {
+      if (report != null && report.position.isNewerThan(call, version)) {
         result = moreCautious(report.host, result);
       } else if (source.omits(name, call, version)) {
         result = withAvailability(result, Availability.GONE);
--- a/src/main/java/hazelspoke/node/Gateway.java
+++ b/src/main/java/hazelspoke/node/Gateway.java
@@ -123,7 +123,7 @@
   /** How long to wait for an agent's first list; changed by tests. */
   long firstListTimeoutMs = FIRST_LIST_TIMEOUT_MS;
 
-  /** Event loop only. */
+  /** Decides when the first list of hosts is used; event loop only. */
   private InitialHostList initialHostList;
 
   /** Whether a shutdown has begun; event loop only. */
--- a/src/test/java/hazelspoke/discovery/ListCallsModelTest.java
+++ b/src/test/java/hazelspoke/discovery/ListCallsModelTest.java
@@ -10,6 +10,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Random;
 import java.util.TreeSet;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -139,12 +140,12 @@
       open.put(call, new Connection());
     }
 
-    private java.util.Optional<ListCall> pick() {
+    private Optional<ListCall> pick() {
       List<ListCall> candidates = new ArrayList<>(open.keySet());
       candidates.sort((a, b) -> Long.compare(a.order, b.order));
       return candidates.isEmpty()
-          ? java.util.Optional.empty()
-          : java.util.Optional.of(candidates.get(random.nextInt(candidates.size())));
+          ? Optional.empty()
+          : Optional.of(candidates.get(random.nextInt(candidates.size())));
     }
 
     /** The service writes what a call has not been told. */
--- a/src/test/java/hazelspoke/node/LastByteGateTest.java
+++ b/src/test/java/hazelspoke/node/LastByteGateTest.java
@@ -54,7 +54,7 @@
         String head = FakeServer.head(in);
         assertThat(head).startsWith("POST /dispatch");
         assertThat(remainingBytes(in)).isEqualTo(BODY_WITHOUT_LAST_BYTE);
-        // The connection closes before the iteration that closes it has counted its client.
+        // The event loop closes this connection before it counts the client.
         rig.runLoopIterations();
         assertThat(rig.metric("left.sent")).isZero();
         assertThat(rig.metric("left.waiting")).isEqualTo(1);
